--- /dev/null
+++ b/src/wire/UdpDatagrams.h
@@ -0,0 +1,38 @@
+/// Datagrams over UDP.
+#ifndef DANDELION_WIRE_UDP_DATAGRAMS_H
+#define DANDELION_WIRE_UDP_DATAGRAMS_H
+
+#include "wire/Datagrams.h"
+
+struct event;
+
+namespace dandelion {
+
+class UdpDatagrams
+  : public Service
+  , public Datagrams
+{
+public:
+  UdpDatagrams(Loop& aLoop, Endpoint aListen);
+  ~UdpDatagrams() override;
+
+  absl::Status Start() override;
+
+  void Send(const Endpoint& aTo, const Datagram& aDatagram) override;
+  void AddHandler(Handler aHandler) override { handlers_.push_back(std::move(aHandler)); }
+  uint64_t BytesSent() const override { return bytesSent_; }
+
+private:
+  void ReceiveAll();
+
+  Loop& loop_;
+  Endpoint listen_;
+  int socket_ = -1;
+  event* readable_ = nullptr;
+  std::vector<Handler> handlers_;
+  uint64_t bytesSent_ = 0;
+};
+
+} // namespace dandelion
+
+#endif
--- /dev/null
+++ b/src/wire/WebsocketLinks.h
@@ -0,0 +1,69 @@
+/// Links over websockets on libevent's sockets.
+#ifndef DANDELION_WIRE_WEBSOCKET_LINKS_H
+#define DANDELION_WIRE_WEBSOCKET_LINKS_H
+
+#include "wire/Links.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+
+struct evconnlistener;
+
+namespace dandelion {
+
+class WebsocketLinks
+  : public Service
+  , public Links
+{
+public:
+  /// `aSelf` names this node and where its peers reach it.
+  WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf);
+  ~WebsocketLinks() override;
+
+  absl::Status Start() override;
+  void Stop() override;
+
+  LinkId Open(const Endpoint& aPeer, Lane aLane) override;
+  void Send(LinkId aLink, const LinkMessage& aMessage) override;
+  void AwaitAnswer(LinkId aLink) override;
+  void AnswerCame(LinkId aLink) override;
+  std::optional<Endpoint> PeerOf(LinkId aLink) const override;
+  void AddHandler(LinkHandler& aHandler) override { handlers_.push_back(&aHandler); }
+  void SetVersion(Version aVersion) override { version_ = aVersion; }
+  void OnVersionSeen(std::function<void(const Endpoint&, Version)> aCallback) override
+  {
+    onVersionSeen_ = std::move(aCallback);
+  }
+  uint64_t BytesSent(Lane aLane) const override { return bytesSent_[static_cast<size_t>(aLane)]; }
+
+private:
+  class Link;
+  using Target = std::pair<Endpoint, Lane>;
+
+  void Accept(int aSocket);
+  void Receive(LinkId aId, const std::string& aBytes);
+  void Close(LinkId aId);
+  void Tick();
+  Link* Find(LinkId aId) const;
+
+  Loop& loop_;
+  Endpoint listen_;
+  Hello self_;
+  evconnlistener* listener_ = nullptr;
+  LinkId nextId_ = 1;
+  std::map<LinkId, std::unique_ptr<Link>> links_;
+  std::map<Target, LinkId> byTarget_;
+  /// Closed links, kept until their sockets' callbacks have returned.
+  std::vector<std::unique_ptr<Link>> closed_;
+  std::vector<LinkHandler*> handlers_;
+  std::function<void(const Endpoint&, Version)> onVersionSeen_;
+  Version version_ = 0;
+  std::array<uint64_t, 3> bytesSent_ = {};
+  Timer tick_;
+};
+
+} // namespace dandelion
+
+#endif
--- /dev/null
+++ b/src/wire/WebsocketSession.cpp
@@ -0,0 +1,125 @@
+#include "wire/WebsocketSession.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace dandelion {
+
+namespace {
+
+constexpr size_t kLargestMessage = 24 * 1024 * 1024;
+
+using Server = websocketpp::server<websocketpp::config::core>;
+using Client = websocketpp::client<websocketpp::config::core_client>;
+
+/// One endpoint object for each side serves all sessions of the process.
+Server& SharedServer()
+{
+  static Server* server = [] {
+    auto* made = new Server;
+    made->clear_access_channels(websocketpp::log::alevel::all);
+    made->clear_error_channels(websocketpp::log::elevel::all);
+    return made;
+  }();
+  return *server;
+}
+
+Client& SharedClient()
+{
+  static Client* client = [] {
+    auto* made = new Client;
+    made->clear_access_channels(websocketpp::log::alevel::all);
+    made->clear_error_channels(websocketpp::log::elevel::all);
+    return made;
+  }();
+  return *client;
+}
+
+template<class EndpointType>
+class Session : public WebsocketSession
+{
+public:
+  using ConnectionPtr = typename EndpointType::connection_ptr;
+
+  Session(ConnectionPtr aConnection, Callbacks aCallbacks)
+    : connection_(std::move(aConnection))
+    , callbacks_(std::move(aCallbacks))
+  {
+    using websocketpp::connection_hdl;
+    connection_->set_max_message_size(kLargestMessage);
+    connection_->set_write_handler([this](connection_hdl, const char* aBytes, size_t aCount) {
+      callbacks_.onWrite(std::string_view(aBytes, aCount));
+      return websocketpp::lib::error_code();
+    });
+    connection_->set_open_handler([this](connection_hdl) { callbacks_.onOpen(); });
+    connection_->set_message_handler(
+      [this](connection_hdl, typename EndpointType::message_ptr aMessage) {
+        callbacks_.onMessage(aMessage->get_payload());
+      });
+    connection_->set_close_handler([this](connection_hdl) { callbacks_.onEnd(); });
+    connection_->set_fail_handler([this](connection_hdl) { callbacks_.onEnd(); });
+  }
+
+  ~Session() override
+  {
+    auto ignore = [](websocketpp::connection_hdl) {};
+    connection_->set_open_handler(ignore);
+    connection_->set_close_handler(ignore);
+    connection_->set_fail_handler(ignore);
+    connection_->set_message_handler(
+      [](websocketpp::connection_hdl, typename EndpointType::message_ptr) {});
+    connection_->set_write_handler([](websocketpp::connection_hdl, const char*, size_t) {
+      return websocketpp::lib::error_code();
+    });
+    connection_->eof();
+  }
+
+  void Begin() override
+  {
+    if constexpr (std::is_same_v<EndpointType, Client>) {
+      SharedClient().connect(connection_);
+    } else {
+      connection_->start();
+    }
+  }
+
+  void Feed(const char* aBytes, size_t aCount) override { connection_->read_all(aBytes, aCount); }
+
+  void Send(const std::string& aMessage) override
+  {
+    // An error means that the connection has ended, of which the end callback tells.
+    (void)connection_->send(aMessage, websocketpp::frame::opcode::binary);
+  }
+
+  void Ping() override
+  {
+    websocketpp::lib::error_code error;
+    connection_->ping("", error);
+  }
+
+private:
+  ConnectionPtr connection_;
+  Callbacks callbacks_;
+};
+
+} // namespace
+
+std::unique_ptr<WebsocketSession> WebsocketSession::Accept(Callbacks aCallbacks)
+{
+  return std::make_unique<Session<Server>>(SharedServer().get_connection(), std::move(aCallbacks));
+}
+
+std::unique_ptr<WebsocketSession> WebsocketSession::Connect(const std::string& aHost,
+                                                            Callbacks aCallbacks)
+{
+  websocketpp::lib::error_code error;
+  auto connection = SharedClient().get_connection("ws://" + aHost + "/link", error);
+  if (error) {
+    return nullptr;
+  }
+  return std::make_unique<Session<Client>>(connection, std::move(aCallbacks));
+}
+
+} // namespace dandelion
--- /dev/null
+++ b/src/wire/WebsocketSession.h
@@ -0,0 +1,42 @@
+/// One websocket connection without its socket: bytes in, bytes out, whole messages.
+#ifndef DANDELION_WIRE_WEBSOCKET_SESSION_H
+#define DANDELION_WIRE_WEBSOCKET_SESSION_H
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace dandelion {
+
+class WebsocketSession
+{
+public:
+  struct Callbacks
+  {
+    std::function<void(std::string_view)> onWrite;
+    std::function<void()> onOpen;
+    std::function<void(const std::string&)> onMessage;
+    /// The handshake failed, or the peer closed.
+    std::function<void()> onEnd;
+  };
+
+  /// A session that waits for the peer's handshake, or one that begins its own.
+  static std::unique_ptr<WebsocketSession> Accept(Callbacks aCallbacks);
+  static std::unique_ptr<WebsocketSession> Connect(const std::string& aHost, Callbacks aCallbacks);
+
+  virtual ~WebsocketSession() = default;
+
+  /// Sends what a session says first. Called once, before `Feed`.
+  virtual void Begin() = 0;
+  /// Takes bytes that came from the socket.
+  virtual void Feed(const char* aBytes, size_t aCount) = 0;
+  /// Sends one binary message.
+  virtual void Send(const std::string& aMessage) = 0;
+  /// Asks the peer for a sign of life.
+  virtual void Ping() = 0;
+};
+
+} // namespace dandelion
+
+#endif
--- /dev/null
+++ b/src/wire/Wire.h
@@ -0,0 +1,16 @@
+/// Public header of the wire library: messages, links, datagrams, store, HTTP, upstream.
+#ifndef DANDELION_WIRE_WIRE_H
+#define DANDELION_WIRE_WIRE_H
+
+#include "wire/Datagrams.h"
+#include "wire/EtcdStore.h"
+#include "wire/Http.h"
+#include "wire/HttpUpstream.h"
+#include "wire/Links.h"
+#include "wire/Messages.h"
+#include "wire/Store.h"
+#include "wire/UdpDatagrams.h"
+#include "wire/Upstream.h"
+#include "wire/WebsocketLinks.h"
+
+#endif
--- /dev/null
+++ b/tools/StoreStandin.h
@@ -0,0 +1,103 @@
+/// A small stand-in for the platform's store: the part of etcd's v3 JSON protocol that the product
+/// uses, kept in memory, with faults on request.
+#ifndef DANDELION_TOOLS_STORE_STANDIN_H
+#define DANDELION_TOOLS_STORE_STANDIN_H
+
+#include "wire/Wire.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelion {
+
+/// Faults, set through `POST /control`.
+struct StoreFaults
+{
+  /// Answers nothing at all.
+  bool isDown = false;
+  /// Delay of each answer, and of each write before it takes effect.
+  int64_t delayMs = 0;
+  /// The next transactions take effect, but their answers are lost.
+  int64_t loseAnswers = 0;
+  /// The next transactions are answered never, and take effect after this time.
+  int64_t landLate = 0;
+  int64_t landLateMs = 0;
+};
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, StoreFaults& aFaults)
+{
+  aVisitor.OptionalField("down", aFaults.isDown);
+  aVisitor.OptionalField("delay_ms", aFaults.delayMs, Between{ 0, 60000 });
+  aVisitor.OptionalField("lose_answers", aFaults.loseAnswers, Between{ 0, 1000 });
+  aVisitor.OptionalField("land_late", aFaults.landLate, Between{ 0, 1000 });
+  aVisitor.OptionalField("land_late_ms", aFaults.landLateMs, Between{ 0, 60000 });
+}
+
+class StoreStandin
+{
+public:
+  StoreStandin(Loop& aLoop, const Endpoint& aListen);
+
+  absl::Status Start();
+  void SetFaults(const StoreFaults& aFaults);
+  /// Forgets the newest keys with a prefix, as a store restored from an old copy does.
+  void Forget(const std::string& aPrefix, size_t aCount);
+  uint64_t Calls() const { return calls_; }
+  /// Transactions that created a key, with the keys, in order.
+  const std::vector<std::string>& Created() const { return created_; }
+
+private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+  struct Item
+  {
+    std::string value;
+    int64_t createRevision = 0;
+    int64_t modRevision = 0;
+  };
+  struct Watcher
+  {
+    std::string key;
+    std::string end;
+    Exchange exchange;
+  };
+  struct PastWrite
+  {
+    std::string key;
+    int64_t revision;
+  };
+
+  void OnRequest(const Exchange& aExchange);
+  void Serve(const Exchange& aExchange);
+  void OnControl(const Exchange& aExchange);
+  Json Range(const Json& aRequest) const;
+  Json Txn(const Json& aRequest);
+  bool Holds(const Json& aCompare) const;
+  Json PutItem(const Json& aRequest);
+  Json DeleteItems(const Json& aRequest);
+  Json GrantLease(const Json& aRequest);
+  void Watch(const Exchange& aExchange, const Json& aRequest);
+  void Announce(const std::string& aKey, const Item& aItem);
+  Json Header() const;
+
+  Loop& loop_;
+  Endpoint listen_;
+  HttpServer server_;
+  StoreFaults faults_;
+  std::map<std::string, Item> items_;
+  std::vector<PastWrite> history_;
+  std::map<int64_t, std::vector<std::string>> leases_;
+  std::vector<Watcher> watchers_;
+  std::vector<Exchange> unanswered_;
+  std::vector<std::string> created_;
+  std::vector<Timer> timers_;
+  int64_t revision_ = 1;
+  int64_t nextLease_ = 1;
+  uint64_t calls_ = 0;
+  std::map<std::string, uint64_t> callsByPath_;
+};
+
+} // namespace dandelion
+
+#endif
--- /dev/null
+++ b/tools/UpstreamStandin.h
@@ -0,0 +1,68 @@
+/// A small stand-in for an upstream: slots, work that takes time, shedding, cancellation, and a
+/// journal of the calls that it began.
+#ifndef DANDELION_TOOLS_UPSTREAM_STANDIN_H
+#define DANDELION_TOOLS_UPSTREAM_STANDIN_H
+
+#include "wire/Wire.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dandelion {
+
+struct UpstreamTraits
+{
+  std::string name;
+  /// Calls that run at a time; more are shed as not run.
+  int64_t slots = 6;
+  /// Time that a call takes, unless its `x-work-ms` header says otherwise.
+  int64_t workMs = 1;
+  /// Work takes this many times longer.
+  int64_t slowness = 1;
+};
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, UpstreamTraits& aTraits)
+{
+  aVisitor.OptionalField("name", aTraits.name);
+  aVisitor.OptionalField("slots", aTraits.slots, Between{ 1, 10000 });
+  aVisitor.OptionalField("work_ms", aTraits.workMs, Between{ 0, 600000 });
+  aVisitor.OptionalField("slowness", aTraits.slowness, Between{ 1, 1000 });
+}
+
+class UpstreamStandin
+{
+public:
+  UpstreamStandin(Loop& aLoop, const Endpoint& aListen, UpstreamTraits aTraits);
+
+  absl::Status Start();
+  /// The `x-call-id` headers of the calls that were begun, in order.
+  const std::vector<std::string>& Journal() const { return journal_; }
+  int64_t Cancelled() const { return cancelled_; }
+
+private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+  void OnRequest(const Exchange& aExchange);
+  void OnControl(const Exchange& aExchange);
+  void Finish(uint64_t aId);
+  HttpResponse AnswerTo(const HttpRequest& aRequest) const;
+
+  struct Running
+  {
+    Exchange exchange;
+    Timer timer;
+  };
+  Loop& loop_;
+  Endpoint listen_;
+  UpstreamTraits traits_;
+  HttpServer server_;
+  uint64_t nextId_ = 1;
+  std::map<uint64_t, Running> running_;
+  std::vector<std::string> journal_;
+  int64_t cancelled_ = 0;
+};
+
+} // namespace dandelion
+
+#endif
--- /dev/null
+++ b/tools/upstream_standin.cpp
@@ -0,0 +1,35 @@
+/// Runs an upstream's stand-in as a process.
+#include "UpstreamStandin.h"
+
+#include "absl/flags/flag.h"
+#include "absl/flags/parse.h"
+
+#include <csignal>
+
+ABSL_FLAG(std::string, ip, "127.0.0.1", "IP number to listen on");
+ABSL_FLAG(uint16_t, port, 8080, "port to listen on");
+ABSL_FLAG(std::string, name, "upstream", "name given in answers");
+ABSL_FLAG(int64_t, slots, 6, "calls that run at a time");
+ABSL_FLAG(int64_t, work_ms, 1, "time that a call takes");
+
+int main(int aCount, char** aWords)
+{
+  using namespace dandelion;
+  absl::ParseCommandLine(aCount, aWords);
+  UpstreamTraits traits;
+  traits.name = absl::GetFlag(FLAGS_name);
+  traits.slots = absl::GetFlag(FLAGS_slots);
+  traits.workMs = absl::GetFlag(FLAGS_work_ms);
+  Loop loop;
+  UpstreamStandin upstream(
+    loop, Endpoint{ absl::GetFlag(FLAGS_ip), absl::GetFlag(FLAGS_port) }, traits);
+  loop.OnSignal(SIGTERM, [&] { loop.Stop(); });
+  loop.OnSignal(SIGINT, [&] { loop.Stop(); });
+  absl::Status status = upstream.Start();
+  if (!status.ok()) {
+    Log(LogPart::Tool, LogLevel::Error, "{}.", Reason(status));
+    return AnswerFor(KindOf(status)).exitCode;
+  }
+  loop.Run();
+  return 0;
+}
