--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -152,7 +152,8 @@
     }
     return;
   }
-  attempt.link = links_->Open(aMember.endpoint, LaneFor(call.route.policy->trafficClass));
+  attempt.link = links_->Open(EndpointFrom(context_.settings.region, aMember),
+                              LaneFor(call.route.policy->trafficClass));
   call.current = attempt;
   links_->AwaitAnswer(*attempt.link);
   links_->Send(*attempt.link, open);
--- a/src/dandeliond/MembershipService.cpp
+++ b/src/dandeliond/MembershipService.cpp
@@ -15,6 +15,22 @@
 constexpr Duration kSeedsPeriodAlone = seconds(1);
 constexpr size_t kMostSeedsPerZone = 4;
 
+/// A first contact as the store keeps it, under the key of its zone.
+struct Seed
+{
+  std::string region;
+  Endpoint endpoint;
+  Endpoint farEndpoint;
+};
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, Seed& aSeed)
+{
+  aVisitor.Field("region", aSeed.region);
+  aVisitor.Field("endpoint", aSeed.endpoint);
+  aVisitor.Field("far_endpoint", aSeed.farEndpoint);
+}
+
 Member SelfOf(const NodeSettings& aSettings, uint64_t aIncarnation)
 {
   Member self;
@@ -23,6 +39,7 @@
   self.zone = aSettings.zone;
   self.service = aSettings.service;
   self.endpoint = aSettings.peers;
+  self.farEndpoint = aSettings.peersFromOtherRegions.value_or(aSettings.peers);
   self.incarnation = aIncarnation;
   return self;
 }
@@ -232,7 +249,7 @@
   std::vector<Endpoint> peers(knownSeeds_.begin(), knownSeeds_.end());
   for (const auto& [id, member] : prober_.Table().All()) {
     if (id != context_.settings.id && TakesWork(member)) {
-      peers.push_back(member.endpoint);
+      peers.push_back(EndpointFrom(context_.settings.region, member));
     }
   }
   std::shuffle(peers.begin(), peers.end(), random_);
@@ -317,25 +334,15 @@
     return;
   }
   prober_.Witness(aAskedAt);
-  std::vector<Endpoint> ownZone;
+  std::string ownZone;
   for (const KeyValue& item : aResult->items) {
-    auto endpoints = Decode<std::vector<Endpoint>>(item.value);
-    if (!endpoints.ok()) {
-      continue;
-    }
+    auto seeds = Decode<std::vector<Seed>>(item.value);
     if (item.key == kSeedsPrefix + context_.settings.zone) {
-      ownZone = *endpoints;
+      ownZone = item.value;
     }
-    for (const Endpoint& endpoint : *endpoints) {
-      bool isStranger =
-        endpoint != context_.settings.peers && prober_.Table().FindByEndpoint(endpoint) == nullptr;
-      if (!isStranger) {
-        continue;
-      }
-      knownSeeds_.insert(endpoint);
-      if (isReady_) {
-        Carry(prober_.Contact(endpoint, context_.loop.Now()));
-      }
+    for (const Seed& seed : seeds.value_or(std::vector<Seed>())) {
+      bool isNear = seed.region == context_.settings.region;
+      MeetSeed(isNear ? seed.endpoint : seed.farEndpoint);
     }
   }
   if (isReady_) {
@@ -346,17 +353,33 @@
   }
 }
 
-void MembershipService::OfferAsSeed(const std::vector<Endpoint>& aOwnZone)
+void MembershipService::MeetSeed(const Endpoint& aSeed)
+{
+  bool isStranger =
+    aSeed != context_.settings.peers && prober_.Table().FindByEndpoint(aSeed) == nullptr;
+  if (!isStranger) {
+    return;
+  }
+  knownSeeds_.insert(aSeed);
+  if (isReady_) {
+    Carry(prober_.Contact(aSeed, context_.loop.Now()));
+  }
+}
+
+void MembershipService::OfferAsSeed(const std::string& aOwnZone)
 {
-  const Endpoint& self = context_.settings.peers;
-  bool isListed = std::find(aOwnZone.begin(), aOwnZone.end(), self) != aOwnZone.end();
+  auto listed = Decode<std::vector<Seed>>(aOwnZone).value_or(std::vector<Seed>());
+  const Member& self = prober_.Self();
+  auto isSelf = [&](const Seed& aSeed) { return aSeed.endpoint == self.endpoint; };
+  bool isListed = std::any_of(listed.begin(), listed.end(), isSelf);
   if (isListed || !IsRelayOrAlone()) {
     return;
   }
   // Two relays may write at once and one of them is lost; it writes again at its next look.
-  std::vector<Endpoint> seeds{ self };
-  for (const Endpoint& other : aOwnZone) {
-    if (seeds.size() < kMostSeedsPerZone && prober_.Table().FindByEndpoint(other) != nullptr) {
+  std::vector<Seed> seeds{ Seed{ self.region, self.endpoint, self.farEndpoint } };
+  for (const Seed& other : listed) {
+    bool isThere = prober_.Table().FindByEndpoint(other.endpoint) != nullptr;
+    if (seeds.size() < kMostSeedsPerZone && isThere) {
       seeds.push_back(other);
     }
   }
--- a/src/dandeliond/MembershipService.h
+++ b/src/dandeliond/MembershipService.h
@@ -54,7 +54,9 @@
   void Announce();
   void ReadSeeds();
   void OnSeeds(const absl::StatusOr<ReadResult>& aResult, TimePoint aAskedAt);
-  void OfferAsSeed(const std::vector<Endpoint>& aOwnZone);
+  void MeetSeed(const Endpoint& aSeed);
+  /// `aOwnZone` is the stored value of our zone's key.
+  void OfferAsSeed(const std::string& aOwnZone);
   bool IsRelayOrAlone() const;
   void AskForWitness();
 
--- a/src/dandeliond/NodeSettings.cpp
+++ b/src/dandeliond/NodeSettings.cpp
@@ -59,6 +59,9 @@
   CheckEndpoint(faults, "front", aSettings.front);
   CheckEndpoint(faults, "operators", aSettings.operators);
   CheckEndpoint(faults, "peers", aSettings.peers);
+  if (aSettings.peersFromOtherRegions.has_value()) {
+    CheckEndpoint(faults, "peers_from_other_regions", *aSettings.peersFromOtherRegions);
+  }
   CheckEndpoints(faults, "store.servers", aSettings.store.servers);
   CheckEndpoints(faults, "seeds", aSettings.seeds);
   if (aSettings.store.servers.empty()) {
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -32,6 +32,8 @@
   Endpoint operators;
   /// Where other nodes come in, TCP and UDP.
   Endpoint peers;
+  /// Where nodes of other regions come in, where addresses are translated between regions.
+  std::optional<Endpoint> peersFromOtherRegions;
   StoreSettings store;
   /// First contacts for a start while the store is down.
   std::vector<Endpoint> seeds;
@@ -60,6 +62,7 @@
   aVisitor.Field("front", aSettings.front);
   aVisitor.Field("operators", aSettings.operators);
   aVisitor.Field("peers", aSettings.peers);
+  aVisitor.OptionalField("peers_from_other_regions", aSettings.peersFromOtherRegions);
   aVisitor.Field("store", aSettings.store);
   aVisitor.OptionalField("seeds", aSettings.seeds);
   aVisitor.OptionalField("log_level", aSettings.logLevel);
--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -51,7 +51,7 @@
     if (member != nullptr && member->region == context_.settings.store.region) {
       lastStoreRegionContact_ = context_.loop.Now();
     }
-    catchUp_.OnVersionSeen(aPeer, aVersion);
+    catchUp_.OnVersionSeen(member == nullptr ? aPeer : Reach(*member), aVersion);
     CatchUpNow();
   };
   links_->OnVersionSeen(onVersionSeen);
@@ -125,7 +125,7 @@
     PushTargets(membership_->Table(), membership_->Self(), context_.settings.store.region);
   for (const Member* target : targets) {
     if (target->version < version) {
-      links_->Send(links_->Open(target->endpoint, Lane::Control), EntriesDelivery{ *entries });
+      links_->Send(links_->Open(Reach(*target), Lane::Control), EntriesDelivery{ *entries });
     }
   }
 }
@@ -133,7 +133,7 @@
 void SpreadingService::HandOver(const Entry& aEntry)
 {
   for (const Member* target : HandOverTargets(membership_->Table(), membership_->Self())) {
-    links_->Send(links_->Open(target->endpoint, Lane::Control), EntriesDelivery{ { aEntry } });
+    links_->Send(links_->Open(Reach(*target), Lane::Control), EntriesDelivery{ { aEntry } });
   }
 }
 
@@ -316,7 +316,7 @@
   for (const std::string& zone : membership_->Table().Zones()) {
     for (const Member* relay : RelaysOfZone(membership_->Table(), zone)) {
       if (relay->id != self.id) {
-        datagrams_->Send(relay->endpoint, report);
+        datagrams_->Send(Reach(*relay), report);
       }
     }
   }
--- a/src/dandeliond/SpreadingService.h
+++ b/src/dandeliond/SpreadingService.h
@@ -57,6 +57,10 @@
   void PollStore(TimePoint aNow);
   void FinishQuestion(uint64_t aId, const absl::StatusOr<std::vector<ZoneProgress>>& aProgress);
   bool IsRelay() const;
+  const Endpoint& Reach(const Member& aMember) const
+  {
+    return EndpointFrom(context_.settings.region, aMember);
+  }
   bool IsFirstRelayOfStoreRegion() const;
 
   const NodeContext& context_;
--- a/src/membership/Member.h
+++ b/src/membership/Member.h
@@ -57,6 +57,8 @@
   /// The service whose upstream stands beside the node.
   std::string service;
   Endpoint endpoint;
+  /// Where nodes of other regions reach it; the same as `endpoint` unless addresses are translated.
+  Endpoint farEndpoint;
   /// Grows with each start of the process, and when it refutes a suspicion.
   uint64_t incarnation = 0;
   MemberState state = MemberState::Alive;
@@ -79,11 +81,18 @@
   aVisitor.Field("zone", aMember.zone);
   aVisitor.Field("service", aMember.service);
   aVisitor.Field("endpoint", aMember.endpoint);
+  aVisitor.Field("far_endpoint", aMember.farEndpoint);
   aVisitor.Field("incarnation", aMember.incarnation);
   aVisitor.Field("state", aMember.state);
   aVisitor.Field("version", aMember.version);
 }
 
+/// Where a node of `aRegion` reaches the member.
+inline const Endpoint& EndpointFrom(const std::string& aRegion, const Member& aMember)
+{
+  return aRegion == aMember.region ? aMember.endpoint : aMember.farEndpoint;
+}
+
 /// May be given new work.
 inline bool TakesWork(const Member& aMember)
 {
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -69,7 +69,8 @@
 const Member* MemberTable::FindByEndpoint(const Endpoint& aEndpoint) const
 {
   for (const auto& [id, member] : members_) {
-    if (member.endpoint == aEndpoint && member.state != MemberState::Gone) {
+    bool isAt = member.endpoint == aEndpoint || member.farEndpoint == aEndpoint;
+    if (isAt && member.state != MemberState::Gone) {
       return &member;
     }
   }
--- a/src/membership/Prober.cpp
+++ b/src/membership/Prober.cpp
@@ -251,7 +251,10 @@
     Learn(aEffects, record, aNow);
   }
   table_.RaiseVersion(aGossip.sender, aGossip.version);
-  aEffects.push_back(VersionSeen{ aFrom, aGossip.version });
+  // Between regions the source address may be a translated one that takes no links.
+  const Member* sender = table_.Find(aGossip.sender);
+  Endpoint peer = sender == nullptr ? aFrom : Reach(*sender);
+  aEffects.push_back(VersionSeen{ peer, aGossip.version });
   if (aGossip.digest == table_.Digest()) {
     digestMismatches_ = 0;
     return;
@@ -260,7 +263,7 @@
   if (digestMismatches_ >= kMismatchesBeforeCompare && aNow >= nextCompare_) {
     digestMismatches_ = 0;
     nextCompare_ = aNow + kCompareInterval;
-    aEffects.push_back(CompareTables{ aFrom });
+    aEffects.push_back(CompareTables{ peer });
   }
 }
 
@@ -305,7 +308,7 @@
 {
   uint64_t sequence = nextSequence_++;
   probes_[sequence] = Probe{ aTarget.id, aTarget.endpoint, aNow, false, aOtherZone };
-  aEffects.push_back(SendProbe{ aTarget.endpoint, Ping{ sequence, MakeGossip(aTarget.id) } });
+  aEffects.push_back(SendProbe{ Reach(aTarget), Ping{ sequence, MakeGossip(aTarget.id) } });
 }
 
 void Prober::StartProbes(ProberEffects& aEffects, TimePoint aNow)
--- a/src/membership/Prober.h
+++ b/src/membership/Prober.h
@@ -134,6 +134,10 @@
   void ExpireMembers(ProberEffects& aEffects, TimePoint aNow);
   void TellOtherZones(ProberEffects& aEffects, TimePoint aNow);
   bool IsZoneRelay() const;
+  const Endpoint& Reach(const Member& aMember) const
+  {
+    return EndpointFrom(Self().region, aMember);
+  }
   void NoteStateTime(const Member& aRecord, TimePoint aNow);
 
   std::string selfId_;
--- /dev/null
+++ b/test/process/CallsSurviveFailures.cpp
@@ -0,0 +1,176 @@
+/// Deposits run at most once, "not run" is true, a planned stop cuts off nothing.
+#include "support/Check.h"
+#include "support/Cluster.h"
+
+#include <map>
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+/// Calls that go on through some fronts until they are stopped, and what became of each.
+class Traffic
+{
+public:
+  Traffic(Cluster& aCluster, std::vector<int> aFronts, std::string aMethod)
+    : cluster_(aCluster)
+    , fronts_(std::move(aFronts))
+    , method_(std::move(aMethod))
+  {
+  }
+
+  void Begin()
+  {
+    for (int front : fronts_) {
+      Next(front);
+    }
+  }
+
+  void End()
+  {
+    isOver_ = true;
+    cluster_.WaitUntil([&] { return open_ == 0; });
+  }
+
+  const std::map<std::string, CallResult>& Results() const { return results_; }
+  int Open() const { return open_; }
+
+  int Count(const std::string& aOutcome) const
+  {
+    int count = 0;
+    for (const auto& [id, result] : results_) {
+      count += result.outcome == aOutcome ? 1 : 0;
+    }
+    return count;
+  }
+
+private:
+  void Next(int aFront)
+  {
+    std::string id = fmt::format("call-{}", next_++);
+    ++open_;
+    cluster_.BeginCall(
+      aFront, method_, "/s0/deposit", id, [this, aFront, id](const CallResult& aCall) {
+        --open_;
+        results_[id] = aCall;
+        if (!isOver_ && aCall.isAnswered) {
+          Next(aFront);
+        }
+      });
+  }
+
+  Cluster& cluster_;
+  std::vector<int> fronts_;
+  std::string method_;
+  bool isOver_ = false;
+  int open_ = 0;
+  int next_ = 0;
+  std::map<std::string, CallResult> results_;
+};
+
+std::map<std::string, int> TimesRun(Cluster& aCluster)
+{
+  std::map<std::string, int> times;
+  for (int i = 0; i < aCluster.Size(); ++i) {
+    for (const std::string& id : aCluster.JournalOf(i)) {
+      ++times[id];
+    }
+  }
+  return times;
+}
+
+void CheckAgainstJournals(Cluster& aCluster, const Traffic& aTraffic)
+{
+  std::map<std::string, int> times = TimesRun(aCluster);
+  for (const auto& [id, count] : times) {
+    cr_assert_leq(count, 1, "%s has run %d times", id.c_str(), count);
+  }
+  for (const auto& [id, result] : aTraffic.Results()) {
+    if (result.outcome == "ran") {
+      cr_assert_eq(times[id], 1, "%s was answered but has not run", id.c_str());
+      cr_assert_eq(result.callId, id, "%s got the answer of %s", id.c_str(), result.callId.c_str());
+    }
+    if (result.outcome == "not-run") {
+      cr_assert_eq(times[id], 0, "%s was called not run but has run", id.c_str());
+    }
+  }
+}
+
+void StartWithNote(Cluster& aCluster)
+{
+  aCluster.Start();
+  cr_assert_eq(aCluster.Submit(0, aCluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(aCluster.WaitInForce(0, "first"));
+}
+
+} // namespace
+
+Test(calls, run_at_most_once_while_nodes_are_killed)
+{
+  Cluster cluster(ClusterShape{ 8, 2, 1 });
+  StartWithNote(cluster);
+  Traffic traffic(cluster, { 0, 0, 1, 1, 2, 3 }, "POST");
+  traffic.Begin();
+  for (int node : { 4, 5, 6, 7 }) {
+    cluster.Wait(milliseconds(300));
+    cluster.Kill(node);
+  }
+  cluster.Wait(milliseconds(500));
+  traffic.End();
+  cr_assert_gt(traffic.Count("ran"), 100);
+  CheckAgainstJournals(cluster, traffic);
+}
+
+Test(calls, run_at_most_once_while_nodes_freeze_and_wake)
+{
+  Cluster cluster(ClusterShape{ 8, 2, 1 });
+  StartWithNote(cluster);
+  Traffic traffic(cluster, { 0, 0, 1, 1 }, "POST");
+  traffic.Begin();
+  for (int node : { 4, 5, 6 }) {
+    cluster.Wait(milliseconds(300));
+    cluster.Freeze(node);
+    cluster.Wait(seconds(3));
+    cluster.Thaw(node);
+  }
+  traffic.End();
+  cluster.Wait(seconds(1));
+  cr_assert_gt(traffic.Count("ran"), 100);
+  CheckAgainstJournals(cluster, traffic);
+}
+
+Test(calls, that_are_idempotent_are_answered_while_nodes_are_killed)
+{
+  Cluster cluster(ClusterShape{ 8, 2, 1 });
+  StartWithNote(cluster);
+  Traffic traffic(cluster, { 0, 1 }, "GET");
+  traffic.Begin();
+  for (int node : { 4, 5, 6, 7 }) {
+    cluster.Wait(milliseconds(300));
+    cluster.Kill(node);
+  }
+  cluster.Wait(milliseconds(300));
+  traffic.End();
+  cr_assert_eq(traffic.Count("ran"), static_cast<int>(traffic.Results().size()));
+}
+
+Test(calls, in_progress_are_finished_by_a_planned_stop)
+{
+  ClusterShape shape{ 8, 2, 1 };
+  shape.workMs = 200;
+  Cluster cluster(shape);
+  StartWithNote(cluster);
+  Traffic traffic(cluster, { 0, 0, 1, 1, 2, 2, 3, 3 }, "POST");
+  traffic.Begin();
+  for (int node : { 4, 5, 6, 7 }) {
+    cluster.Wait(milliseconds(300));
+    cluster.Terminate(node);
+  }
+  for (int node : { 4, 5, 6, 7 }) {
+    cr_assert_eq(cluster.WaitForExit(node), 0);
+  }
+  traffic.End();
+  CheckAgainstJournals(cluster, traffic);
+  cr_assert_eq(traffic.Count("ran"), static_cast<int>(traffic.Results().size()));
+}
--- /dev/null
+++ b/test/process/StoreAnswersAreLost.cpp
@@ -0,0 +1,89 @@
+/// A write to the store may take effect while its answer is lost, or land late.
+#include "support/Check.h"
+#include "support/Cluster.h"
+
+#include <algorithm>
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+/// How often the log's key of a version was created.
+int64_t TimesCreated(Cluster& aCluster, const std::string& aVersion)
+{
+  auto created = aCluster.StoreStats().value("created", std::vector<std::string>());
+  return std::count_if(created.begin(), created.end(), [&](const std::string& aKey) {
+    return aKey == "dandelion/notes/" + std::string(20 - aVersion.size(), '0') + aVersion;
+  });
+}
+
+/// Versions in the log that hold a note: the count of created keys.
+size_t Created(Cluster& aCluster)
+{
+  return aCluster.StoreStats().value("created", std::vector<std::string>()).size();
+}
+
+} // namespace
+
+Test(store, that_loses_an_answer_takes_the_note_once)
+{
+  Cluster cluster(ClusterShape{ 4 });
+  cluster.Start();
+  cluster.SetStoreFaults(R"({"lose_answers": 1})");
+  Json answer = cluster.Submit(0, cluster.FirstNote());
+  cr_assert_eq(answer.value("state", ""), "accepted");
+  cr_assert_eq(answer.value("version", 0), 1);
+  cr_assert(cluster.WaitInForce(3, "first"));
+  // The operator, unsure, submits again through another node.
+  Json again = cluster.Submit(1, cluster.FirstNote());
+  cr_assert_eq(again.value("state", ""), "accepted");
+  cr_assert_eq(again.value("version", 0), 1);
+  cr_assert_eq(Created(cluster), 1);
+}
+
+Test(store, that_lets_a_write_land_late_takes_the_note_once)
+{
+  Cluster cluster(ClusterShape{ 4 });
+  cluster.Start();
+  cluster.SetStoreFaults(R"({"land_late": 1, "land_late_ms": 1200})");
+  Json answer = cluster.Submit(0, cluster.FirstNote());
+  cr_assert_eq(answer.value("state", ""), "accepted");
+  cluster.Wait(milliseconds(1500));
+  cr_assert(cluster.WaitInForce(3, "first"));
+  cr_assert_eq(Created(cluster), 1);
+  cr_assert_eq(TimesCreated(cluster, "1"), 1);
+}
+
+Test(store, that_is_silent_leaves_a_note_undecided_and_never_refused)
+{
+  Cluster cluster(ClusterShape{ 4 });
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(3, "first"));
+  cluster.SetStoreFaults(R"({"land_late": 1, "land_late_ms": 3000})");
+  Json answer = cluster.Submit(0, ChangeNote("late", "s0", 3), milliseconds(10));
+  // The time limit is shorter than the store's, so the node cannot know.
+  cr_assert_eq(answer.value("state", ""), "undecided");
+  cr_assert_neq(cluster.StatusOf(1, "late").value("state", ""), "refused");
+  cr_assert(cluster.WaitInForce(2, "late"));
+  cr_assert_eq(Created(cluster), 2);
+}
+
+Test(store, that_is_down_stops_no_call_and_takes_notes_when_it_is_back)
+{
+  Cluster cluster(ClusterShape{ 4 });
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(3, "first"));
+  cluster.SetStoreFaults(R"({"down": true})");
+  Json answer = cluster.Submit(0, ChangeNote("second", "s0", 3), milliseconds(800));
+  cr_assert_eq(answer.value("state", ""), "undecided");
+  for (int i = 0; i < cluster.Size(); ++i) {
+    cr_assert_eq(cluster.Call(i, "GET", "/s0/x").outcome, "ran");
+  }
+  cluster.SetStoreFaults("{}");
+  cr_assert_eq(cluster.Submit(1, ChangeNote("second", "s0", 3)).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(3, "second"));
+  cr_assert_eq(Created(cluster), 2);
+}
--- /dev/null
+++ b/test/process/WithdrawnKeepsNoTraffic.cpp
@@ -0,0 +1,88 @@
+/// Nothing that a note withdrew keeps receiving traffic, not even from a node that slept.
+#include "support/Check.h"
+#include "support/Cluster.h"
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+Json WithdrawNote()
+{
+  return Json{ { "id", "withdraw" },
+               { "withdraw",
+                 { { "services", Json::array({ "s1" }) }, { "routes", Json::array({ "s1" }) } } } };
+}
+
+size_t JournalSize(Cluster& aCluster, const std::string& aService)
+{
+  size_t size = 0;
+  for (int i = 0; i < aCluster.Size(); ++i) {
+    size += aCluster.ServiceOf(i) == aService ? aCluster.JournalOf(i).size() : 0;
+  }
+  return size;
+}
+
+} // namespace
+
+Test(withdrawal, ends_traffic_and_hurts_no_other_call)
+{
+  Cluster cluster(ClusterShape{ 8 });
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(0, "first"));
+  int wrong = 0;
+  int answered = 0;
+  int refused = 0;
+  bool isOver = false;
+  std::function<void(int)> next = [&](int aNode) {
+    std::string service = answered % 2 == 0 ? "/s0/x" : "/s1/x";
+    cluster.BeginCall(aNode, "GET", service, "c", [&, aNode, service](const CallResult& aCall) {
+      ++answered;
+      bool isRun = aCall.outcome == "ran" && aCall.status == 200;
+      bool isRefused = aCall.outcome == "not-run" && service == "/s1/x";
+      refused += isRefused ? 1 : 0;
+      wrong += isRun || isRefused ? 0 : 1;
+      if (!isOver) {
+        next(aNode);
+      }
+    });
+  };
+  for (int i = 0; i < cluster.Size(); ++i) {
+    next(i);
+  }
+  cluster.Wait(milliseconds(300));
+  cr_assert_eq(cluster.Submit(5, WithdrawNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(2, "withdraw"));
+  size_t before = JournalSize(cluster, "s1");
+  cluster.Wait(seconds(1));
+  cr_assert_eq(JournalSize(cluster, "s1"), before);
+  isOver = true;
+  cluster.Wait(milliseconds(500));
+  cr_assert_eq(wrong, 0);
+  cr_assert_gt(refused, 0);
+}
+
+Test(withdrawal, holds_on_a_node_that_was_frozen_meanwhile)
+{
+  Cluster cluster(ClusterShape{ 8 });
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(0, "first"));
+  // Node 4 stands beside an upstream of s1 and would route calls there by itself.
+  cr_assert_eq(cluster.ServiceOf(4), "s1");
+  cr_assert_eq(cluster.Call(4, "GET", "/s1/x").outcome, "ran");
+  cluster.Freeze(4);
+  cr_assert_eq(cluster.Submit(0, WithdrawNote()).value("state", ""), "accepted");
+  // The others count it as gone, so the note is in force everywhere.
+  cr_assert(cluster.WaitInForce(0, "withdraw", seconds(60)));
+  size_t before = JournalSize(cluster, "s1");
+  cluster.Thaw(4);
+  // On waking it still holds the old version; its fence must keep it from using it.
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(cluster.Call(4, "GET", "/s1/x").outcome, "not-run");
+  }
+  cr_assert_eq(JournalSize(cluster, "s1"), before);
+  cr_assert(cluster.WaitUntil([&] { return cluster.VersionOf(4).value("version", 0) == 2; }));
+  cr_assert(cluster.WaitUntil([&] { return cluster.Call(4, "GET", "/s0/x").outcome == "ran"; }));
+}
--- /dev/null
+++ b/test/property/MemberTablesConverge.cpp
@@ -0,0 +1,85 @@
+/// The same records in any order, any number of times, give the same table.
+#include "support/Check.h"
+
+#include "membership/Membership.h"
+
+#include <algorithm>
+
+using namespace dandelion;
+
+namespace {
+
+rc::Gen<Member> AnyRecord()
+{
+  return rc::gen::exec([] {
+    Member member;
+    int index = *rc::gen::inRange(0, 5);
+    member.id = "m" + std::to_string(index);
+    member.zone = "z" + std::to_string(index % 2);
+    member.region = "r";
+    member.incarnation = *rc::gen::inRange<uint64_t>(1, 4);
+    member.state = static_cast<MemberState>(*rc::gen::inRange(0, 4));
+    member.version = *rc::gen::inRange<uint64_t>(0, 5);
+    return member;
+  });
+}
+
+MemberTable TableOf(const std::vector<Member>& aRecords)
+{
+  MemberTable table;
+  for (const Member& record : aRecords) {
+    table.Merge(record);
+  }
+  return table;
+}
+
+} // namespace
+
+Test(member_table, is_the_same_for_every_order_of_records)
+{
+  CHECK_PROPERTY("merging commutes and repeats do nothing", [] {
+    auto records = *rc::gen::container<std::vector<Member>>(12, AnyRecord());
+    MemberTable table = TableOf(records);
+    std::vector<Member> shuffled = records;
+    for (size_t i = shuffled.size(); i > 1; --i) {
+      std::swap(shuffled[i - 1], shuffled[*rc::gen::inRange<size_t>(0, i)]);
+    }
+    // Repeats come first, so that the last word on each member is the shuffled one.
+    shuffled.insert(shuffled.begin(), records.begin(), records.end());
+    MemberTable other = TableOf(shuffled);
+    RC_ASSERT(table.Digest() == other.Digest());
+    for (const auto& [id, member] : table.All()) {
+      const Member* twin = other.Find(id);
+      RC_ASSERT(twin != nullptr);
+      RC_ASSERT(twin->incarnation == member.incarnation);
+      RC_ASSERT(twin->state == member.state);
+      RC_ASSERT(twin->version == member.version);
+    }
+  });
+}
+
+Test(member_table, digest_shows_every_difference)
+{
+  CHECK_PROPERTY("equal digests mean equal incarnations and states", [] {
+    auto records = *rc::gen::container<std::vector<Member>>(8, AnyRecord());
+    MemberTable table = TableOf(records);
+    MemberTable changed = TableOf(records);
+    Member extra = *AnyRecord();
+    bool hasChanged = changed.Merge(extra);
+    RC_ASSERT(hasChanged == (table.Digest() != changed.Digest()));
+  });
+}
+
+Test(member_table, slot_version_outlives_its_incarnations)
+{
+  CHECK_PROPERTY("a version never goes down", [] {
+    auto records = *rc::gen::container<std::vector<Member>>(12, AnyRecord());
+    MemberTable table;
+    std::map<std::string, uint64_t> highest;
+    for (const Member& record : records) {
+      table.Merge(record);
+      highest[record.id] = std::max(highest[record.id], record.version);
+      RC_ASSERT(table.Find(record.id)->version == highest[record.id]);
+    }
+  });
+}
--- /dev/null
+++ b/test/property/MessagesSurviveTheWire.cpp
@@ -0,0 +1,106 @@
+/// Messages come back as they were; no bytes make a decoder fail otherwise than by a clear error.
+#include "support/Check.h"
+#include "support/Notes.h"
+
+#include "wire/Wire.h"
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+std::string Mutate(std::string aBytes)
+{
+  int changes = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < changes && !aBytes.empty(); ++i) {
+    size_t at = *rc::gen::inRange<size_t>(0, aBytes.size());
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        aBytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+        break;
+      case 1:
+        aBytes.resize(at);
+        break;
+      default:
+        aBytes.insert(at, 1, static_cast<char>(*rc::gen::inRange(0, 256)));
+        break;
+    }
+  }
+  return aBytes;
+}
+
+LinkEnvelope AnyEnvelope()
+{
+  Note note = *AnyNote();
+  switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+      return { 3, EntriesDelivery{ { Entry{ 4, note, "p", "r" } } } };
+    case 1:
+      return { 3, SnapshotDelivery{ MakeFirstConfiguration(), "hash" } };
+    case 2: {
+      OpenCall call;
+      call.id = *rc::gen::arbitrary<uint64_t>();
+      call.method = "POST";
+      call.headers = { { "a", "b" } };
+      call.body.data = *rc::gen::arbitrary<std::string>();
+      return { 9, call };
+    }
+    default: {
+      CallReply reply;
+      reply.error = ErrorKind::Overloaded;
+      reply.body.data = *rc::gen::arbitrary<std::string>();
+      return { 9, reply };
+    }
+  }
+}
+
+} // namespace
+
+Test(messages, come_back_as_they_were)
+{
+  CHECK_PROPERTY("encode, decode, encode gives the same bytes", [] {
+    std::string bytes = Encode(AnyEnvelope());
+    auto decoded = Decode<LinkEnvelope>(bytes);
+    RC_ASSERT(decoded.ok());
+    RC_ASSERT(Encode(*decoded) == bytes);
+  });
+}
+
+Test(messages, that_are_damaged_give_an_error_or_a_message)
+{
+  CHECK_PROPERTY("mutated frames", [] {
+    auto decoded = Decode<LinkEnvelope>(Mutate(Encode(AnyEnvelope())));
+    if (!decoded.ok()) {
+      RC_ASSERT(KindOf(decoded.status()) == ErrorKind::BrokenMessage);
+    }
+  });
+  CHECK_PROPERTY("arbitrary datagrams", [] {
+    auto decoded = Decode<Datagram>(*rc::gen::arbitrary<std::string>());
+    if (!decoded.ok()) {
+      RC_ASSERT(KindOf(decoded.status()) == ErrorKind::BrokenMessage);
+    }
+  });
+}
+
+Test(messages, that_nest_without_end_are_refused)
+{
+  std::string deep(100000, static_cast<char>(0x81));
+  cr_assert(!Decode<LinkEnvelope>(deep).ok());
+  // An array that claims more elements than there are bytes must not be given memory.
+  std::string huge("\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 9);
+  cr_assert(!Decode<LinkEnvelope>(huge).ok());
+}
+
+Test(notes, that_are_damaged_give_a_clear_error)
+{
+  CHECK_PROPERTY("mutated JSON", [] {
+    std::string text = Mutate(ToJson(*AnyNote()).dump());
+    auto json = ParseJson(text, kMostNoteBytes);
+    if (json.ok()) {
+      auto note = FromJson<Note>(*json, ErrorKind::InvalidNote);
+      RC_ASSERT(note.ok() || !Reason(note.status()).empty());
+    } else {
+      RC_ASSERT(!Reason(json.status()).empty());
+    }
+  });
+}
--- /dev/null
+++ b/test/property/NotesApplyWholeOrNotAtAll.cpp
@@ -0,0 +1,107 @@
+/// A note gives a whole closed configuration or an error, and errors name the object.
+#include "support/Check.h"
+#include "support/Notes.h"
+
+#include <set>
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+/// What the objects must be after a note, by the plainest reading of it.
+std::set<std::string> ExpectedServices(const Configuration& aParent, const Note& aNote)
+{
+  std::set<std::string> names;
+  for (const auto& [name, held] : aParent.services) {
+    names.insert(name);
+  }
+  for (const std::string& name : aNote.withdraw.services) {
+    names.erase(name);
+  }
+  for (const ServiceSpec& spec : aNote.add.services) {
+    names.insert(spec.name);
+  }
+  return names;
+}
+
+} // namespace
+
+Test(notes, apply_whole_or_not_at_all)
+{
+  CHECK_PROPERTY("after any notes the configuration is closed and says what they said", [] {
+    Configuration current = MakeFirstConfiguration();
+    for (int i = 0; i < 30; ++i) {
+      Note note = *rc::gen::oneOf(AnyNote(), LikelyNote(current, NameFrom("likely", i)));
+      std::string before = HashOf(current);
+      auto result = Apply(current, note, current.version);
+      RC_ASSERT(HashOf(current) == before);
+      if (!result.ok()) {
+        RC_ASSERT(!Reason(result.status()).empty());
+        RC_ASSERT(KindOf(result.status()) != ErrorKind::Internal);
+        continue;
+      }
+      RC_ASSERT(result->version == current.version + 1);
+      RC_ASSERT(IsClosed(*result));
+      std::set<std::string> services;
+      for (const auto& [name, held] : result->services) {
+        services.insert(name);
+      }
+      RC_ASSERT(services == ExpectedServices(current, note));
+      current = *std::move(result);
+    }
+  });
+}
+
+Test(notes, written_against_an_old_base_are_refused_where_another_changed_the_object)
+{
+  CHECK_PROPERTY("the second of two crossing notes never undoes the first unseen", [] {
+    Configuration base = MakeFirstConfiguration();
+    Note first = *LikelyNote(base, "a");
+    Note second = *LikelyNote(base, "b");
+    auto afterFirst = Apply(base, first, base.version);
+    if (!afterFirst.ok()) {
+      return;
+    }
+    auto afterSecond = Apply(*afterFirst, second, base.version);
+    if (!afterSecond.ok()) {
+      return;
+    }
+    auto touches = [](const Note& aNote) {
+      std::set<std::string> names;
+      for (const auto& spec : aNote.change.services) {
+        names.insert(spec.name);
+      }
+      for (const auto& spec : aNote.add.services) {
+        names.insert(spec.name);
+      }
+      names.insert(aNote.withdraw.services.begin(), aNote.withdraw.services.end());
+      return names;
+    };
+    for (const std::string& name : touches(first)) {
+      RC_ASSERT(touches(second).count(name) == 0);
+    }
+  });
+}
+
+Test(notes, are_remembered_only_so_long_that_no_repeat_is_taken_twice)
+{
+  Configuration current = MakeFirstConfiguration();
+  Version firstVersion = current.version;
+  for (size_t i = 0; i < kRememberedNotes + 5; ++i) {
+    Note note;
+    note.id = "change" + std::to_string(i);
+    note.change.services = { ServiceSpec{ "s0", 1 + static_cast<int64_t>(i % 7) } };
+    auto result = Apply(current, note, current.version);
+    cr_assert(result.ok());
+    current = *std::move(result);
+  }
+  cr_assert_eq(current.notes.size(), kRememberedNotes);
+  // The first note is forgotten, but its base is too old to be judged, so it is still refused.
+  Note repeat;
+  repeat.id = "change0";
+  repeat.add.services = { ServiceSpec{ "new" } };
+  auto result = Apply(current, repeat, firstVersion);
+  cr_assert(!result.ok());
+  cr_assert(KindOf(result.status()) == ErrorKind::Conflict);
+}
--- /dev/null
+++ b/test/property/ReplicaOnlyMovesForward.cpp
@@ -0,0 +1,103 @@
+/// No proxy returns to an older version; a bad version is never applied in part.
+#include "support/Check.h"
+#include "support/Notes.h"
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+/// Spoils an entry in one of the ways in which a faulty peer could.
+Entry Spoil(Entry aEntry, int aWay)
+{
+  switch (aWay) {
+    case 0:
+      aEntry.resultHash[0] = aEntry.resultHash[0] == '0' ? '1' : '0';
+      break;
+    case 1:
+      aEntry.parentHash[0] = aEntry.parentHash[0] == '0' ? '1' : '0';
+      break;
+    case 2:
+      aEntry.note.add.services.push_back(ServiceSpec{ "stranger" });
+      break;
+    default:
+      aEntry.note.add.routes.push_back(RouteSpec{ "lost", "/lost", "nowhere", "policy" });
+      break;
+  }
+  return aEntry;
+}
+
+} // namespace
+
+Test(replica, only_moves_forward_and_by_whole_versions)
+{
+  CHECK_PROPERTY("whatever is offered in whatever order", [] {
+    std::vector<Entry> log = *AnyLog(40);
+    Replica replica;
+    int steps = 3 * static_cast<int>(log.size());
+    for (int i = 0; i < steps; ++i) {
+      ConfigurationPtr before = replica.Current();
+      size_t index = *rc::gen::inRange<size_t>(0, log.size());
+      bool isSpoilt = *rc::gen::inRange(0, 4) == 0;
+      // Half of the offers are the next entry, so that the replica gets somewhere.
+      if (*rc::gen::inRange(0, 2) == 0) {
+        index = std::min<size_t>(before->version, log.size() - 1);
+      }
+      Entry entry = isSpoilt ? Spoil(log[index], *rc::gen::inRange(0, 4)) : log[index];
+      bool isTaken = replica.ApplyEntry(entry).ok();
+      const Configuration& after = *replica.Current();
+      RC_ASSERT(after.version == before->version + (isTaken ? 1 : 0));
+      RC_ASSERT(isTaken || replica.Current() == before);
+      RC_ASSERT(!isTaken || !isSpoilt);
+      RC_ASSERT(after.version == 0 || HashOf(after) == log[after.version - 1].resultHash);
+      RC_ASSERT(replica.CurrentHash() == HashOf(after));
+      RC_ASSERT(IsClosed(after));
+    }
+  });
+}
+
+Test(replica, takes_no_older_snapshot)
+{
+  CHECK_PROPERTY("snapshots of any version in any order", [] {
+    std::vector<Entry> log = *AnyLog(20);
+    std::vector<Configuration> versions{ Configuration() };
+    for (const Entry& entry : log) {
+      versions.push_back(*Apply(versions.back(), entry.note, *entry.note.base));
+    }
+    Replica replica;
+    for (int i = 0; i < 20; ++i) {
+      Version before = replica.Current()->version;
+      Configuration offered = versions[*rc::gen::inRange<size_t>(0, versions.size())];
+      std::string hash = HashOf(offered);
+      bool isSpoilt = *rc::gen::inRange(0, 4) == 0;
+      if (isSpoilt) {
+        offered.services["stranger"] = Held<ServiceSpec>{ ServiceSpec{ "stranger" }, 1 };
+      }
+      bool isTaken = replica.ApplySnapshot(offered, hash).ok();
+      RC_ASSERT(isTaken == (!isSpoilt && offered.version > before));
+      RC_ASSERT(replica.Current()->version == std::max(before, isTaken ? offered.version : before));
+    }
+  });
+}
+
+Test(replica, hands_on_exactly_what_a_peer_lacks)
+{
+  CHECK_PROPERTY("a peer at any version catches up by the tail", [] {
+    std::vector<Entry> log = *AnyLog(40);
+    Replica ahead;
+    Replica behind;
+    size_t start = *rc::gen::inRange<size_t>(0, log.size());
+    for (size_t i = 0; i < log.size(); ++i) {
+      RC_ASSERT(ahead.ApplyEntry(log[i]).ok());
+      if (i < start) {
+        RC_ASSERT(behind.ApplyEntry(log[i]).ok());
+      }
+    }
+    auto missing = ahead.EntriesAfter(behind.Current()->version);
+    RC_ASSERT(missing.has_value());
+    for (const Entry& entry : *missing) {
+      RC_ASSERT(behind.ApplyEntry(entry).ok());
+    }
+    RC_ASSERT(behind.CurrentHash() == ahead.CurrentHash());
+  });
+}
--- /dev/null
+++ b/test/property/SlotsAreNeverExceeded.cpp
@@ -0,0 +1,157 @@
+/// Slots hold, every call has one end, no class starves, a closed queue refuses all.
+#include "support/Check.h"
+
+#include "admission/Admission.h"
+
+#include <set>
+
+using namespace dandelion;
+
+namespace {
+
+constexpr Duration kLongDeadline = seconds(1000);
+
+/// Follows what the queue decides, and checks it at each step.
+class Watched
+{
+public:
+  explicit Watched(int64_t aSlots)
+    : slots_(aSlots)
+    , queue_(aSlots)
+  {
+  }
+
+  void Feed(const AdmissionEvent& aEvent, TimePoint aNow) { Take(queue_.On(aEvent, aNow)); }
+  void Expire(TimePoint aNow) { Take(queue_.Expire(aNow)); }
+  void Close() { Take(queue_.Close()); }
+
+  void Arrive(CallKey aCall, TrafficClass aClass, TimePoint aDeadline, TimePoint aNow)
+  {
+    open_.insert(aCall);
+    classes_[aCall] = aClass;
+    Feed(CallArrived{ aCall, aClass, aDeadline }, aNow);
+  }
+
+  void Finish(CallKey aCall, TimePoint aNow)
+  {
+    running_.erase(aCall);
+    Feed(CallFinished{ aCall }, aNow);
+  }
+
+  const std::set<CallKey>& Running() const { return running_; }
+  const std::set<CallKey>& Open() const { return open_; }
+  TrafficClass ClassOf(CallKey aCall) const { return classes_.at(aCall); }
+  std::vector<CallKey> started;
+
+private:
+  void Take(const AdmissionEffects& aEffects)
+  {
+    for (const AdmissionEffect& effect : aEffects) {
+      std::visit(Overloaded{
+                   [&](const RunCall& aRun) {
+                     RC_ASSERT(open_.erase(aRun.call) == 1);
+                     running_.insert(aRun.call);
+                     started.push_back(aRun.call);
+                   },
+                   [&](const RefuseCall& aRefuse) { RC_ASSERT(open_.erase(aRefuse.call) == 1); },
+                 },
+                 effect);
+    }
+    RC_ASSERT(static_cast<int64_t>(running_.size()) <= slots_);
+    RC_ASSERT(static_cast<int64_t>(running_.size()) == queue_.Running());
+  }
+
+  int64_t slots_;
+  SlotQueue queue_;
+  std::set<CallKey> open_;
+  std::set<CallKey> running_;
+  std::map<CallKey, TrafficClass> classes_;
+};
+
+TrafficClass AnyClass()
+{
+  return static_cast<TrafficClass>(*rc::gen::inRange(0, 5));
+}
+
+} // namespace
+
+Test(admission, never_exceeds_slots_and_ends_each_call_once)
+{
+  CHECK_PROPERTY("any arrivals, finishes, cancellations and times", [] {
+    Watched queue(*rc::gen::inRange<int64_t>(1, 6));
+    TimePoint now;
+    CallKey next = 1;
+    int steps = *rc::gen::inRange(1, 150);
+    for (int i = 0; i < steps; ++i) {
+      now += milliseconds(*rc::gen::inRange(0, 30));
+      int action = *rc::gen::inRange(0, 6);
+      if (action < 3) {
+        queue.Arrive(next++, AnyClass(), now + milliseconds(*rc::gen::inRange(1, 200)), now);
+      } else if (action == 3 && !queue.Running().empty()) {
+        queue.Finish(*queue.Running().begin(), now);
+      } else if (action == 4) {
+        queue.Feed(CallCancelled{ *rc::gen::inRange<CallKey>(1, next + 1) }, now);
+      } else {
+        queue.Expire(now);
+      }
+    }
+  });
+}
+
+Test(admission, lets_no_class_starve)
+{
+  CHECK_PROPERTY("with all classes waiting, each gets turns", [] {
+    Watched queue(*rc::gen::inRange<int64_t>(1, 5));
+    TimePoint now;
+    CallKey next = 1;
+    for (int round = 0; round < 6; ++round) {
+      for (const auto& row : EnumNames<TrafficClass>::kTable) {
+        queue.Arrive(next++, row.value, now + kLongDeadline, now);
+      }
+    }
+    std::map<TrafficClass, int> ran;
+    while (!queue.Running().empty()) {
+      now += milliseconds(1);
+      CallKey call = *queue.Running().begin();
+      ++ran[queue.ClassOf(call)];
+      queue.Finish(call, now);
+    }
+    for (const auto& row : EnumNames<TrafficClass>::kTable) {
+      RC_ASSERT(ran[row.value] > 0);
+    }
+    RC_ASSERT(queue.Open().empty());
+  });
+}
+
+Test(admission, keeps_a_slot_free_of_long_work)
+{
+  CHECK_PROPERTY("long calls never hold every slot of two or more", [] {
+    int64_t slots = *rc::gen::inRange<int64_t>(2, 20);
+    Watched queue(slots);
+    for (CallKey call = 1; call <= 40; ++call) {
+      TrafficClass trafficClass =
+        *rc::gen::inRange(0, 2) == 0 ? TrafficClass::Bulk : TrafficClass::Background;
+      queue.Arrive(call, trafficClass, TimePoint(kLongDeadline), TimePoint());
+    }
+    RC_ASSERT(static_cast<int64_t>(queue.Running().size()) < slots);
+    queue.Arrive(100, TrafficClass::Short, TimePoint(kLongDeadline), TimePoint());
+    RC_ASSERT(queue.Running().count(100) == 1);
+  });
+}
+
+Test(admission, refuses_all_that_waits_when_it_closes)
+{
+  CHECK_PROPERTY("drain ends what waits and lets run what runs", [] {
+    Watched queue(2);
+    for (CallKey call = 1; call <= 10; ++call) {
+      queue.Arrive(call, AnyClass(), TimePoint(kLongDeadline), TimePoint());
+    }
+    size_t running = queue.Running().size();
+    queue.Close();
+    RC_ASSERT(queue.Open().empty());
+    RC_ASSERT(queue.Running().size() == running);
+    queue.Arrive(11, TrafficClass::Short, TimePoint(kLongDeadline), TimePoint());
+    RC_ASSERT(queue.Running().count(11) == 0);
+    RC_ASSERT(queue.Open().empty());
+  });
+}
--- /dev/null
+++ b/test/property/SubmissionsRaceForTheLog.cpp
@@ -0,0 +1,247 @@
+/// An accepted note stands in the log once and for good; a refused one never lands, whatever the
+/// store's answers are, with several operators and repeats through several nodes at once.
+#include "support/Check.h"
+#include "support/Notes.h"
+
+#include <map>
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+/// The store's side of the log: creates a key only where it is absent and its parent is present.
+class FakeLog
+{
+public:
+  AppendOutcome Create(const Entry& aEntry)
+  {
+    if (present_.count(aEntry.version) > 0) {
+      return AppendOutcome::Occupied;
+    }
+    if (aEntry.version > 1 && present_.count(aEntry.version - 1) == 0) {
+      return AppendOutcome::ParentMissing;
+    }
+    present_[aEntry.version] = aEntry;
+    all_.push_back(aEntry);
+    return AppendOutcome::Written;
+  }
+
+  void CompactAllButNewest()
+  {
+    while (present_.size() > 1) {
+      present_.erase(present_.begin());
+    }
+  }
+
+  /// What a node knows after reading the log, or the snapshot and what follows it.
+  Configuration Read() const
+  {
+    Replica replica;
+    for (const Entry& entry : all_) {
+      absl::Status status = replica.ApplyEntry(entry);
+      RC_ASSERT(status.ok());
+    }
+    return *replica.Current();
+  }
+
+  const std::vector<Entry>& All() const { return all_; }
+
+private:
+  std::map<Version, Entry> present_;
+  std::vector<Entry> all_;
+};
+
+/// One submission through one node, with the effect that waits to be carried out.
+struct Submitter
+{
+  Submission submission;
+  SubmissionEffect effect;
+  bool isDone = false;
+};
+
+class Race
+{
+public:
+  explicit Race(const std::vector<Note>& aNotes)
+  {
+    for (const Note& note : aNotes) {
+      Submission submission(note, TimePoint(seconds(1000)));
+      SubmissionEffect effect = submission.Begin();
+      submitters_.push_back(Submitter{ std::move(submission), std::move(effect) });
+    }
+  }
+
+  FakeLog& Log() { return log_; }
+  std::vector<Submitter>& All() { return submitters_; }
+
+  /// Carries out the waiting effect of one submitter, with a fault chosen by `aFault`.
+  void Step(Submitter& aSubmitter, int aFault)
+  {
+    if (aSubmitter.isDone) {
+      return;
+    }
+    std::visit(Overloaded{
+                 [&](const ReadLog&) { OnReadLog(aSubmitter, aFault); },
+                 [&](const AppendEntry& aAppend) { OnAppend(aSubmitter, aAppend.entry, aFault); },
+                 [&](const RetryAfter&) { Feed(aSubmitter, RetryIsDue{}); },
+                 [&](const auto&) { aSubmitter.isDone = true; },
+               },
+               SubmissionEffect(aSubmitter.effect));
+  }
+
+  void LandOne()
+  {
+    if (!late_.empty()) {
+      Entry entry = late_.front();
+      late_.erase(late_.begin());
+      (void)log_.Create(entry);
+    }
+  }
+
+  void Finish()
+  {
+    while (!late_.empty()) {
+      LandOne();
+    }
+    for (Submitter& submitter : submitters_) {
+      for (int i = 0; i < 20; ++i) {
+        Step(submitter, 0);
+      }
+      RC_ASSERT(submitter.isDone);
+    }
+  }
+
+private:
+  void Feed(Submitter& aSubmitter, const SubmissionEvent& aEvent)
+  {
+    aSubmitter.effect = aSubmitter.submission.On(aEvent, TimePoint());
+  }
+
+  void OnReadLog(Submitter& aSubmitter, int aFault)
+  {
+    if (aFault == 1) {
+      Feed(aSubmitter, LogReadFailed{});
+      return;
+    }
+    Configuration configuration = log_.Read();
+    Feed(aSubmitter, LogIsCurrent{ configuration });
+  }
+
+  void OnAppend(Submitter& aSubmitter, const Entry& aEntry, int aFault)
+  {
+    switch (aFault) {
+      case 1:
+        // Lost on the way there.
+        Feed(aSubmitter, AppendAnswered{ AppendOutcome::Unknown });
+        return;
+      case 2:
+        // Written, but the answer is lost.
+        (void)log_.Create(aEntry);
+        Feed(aSubmitter, AppendAnswered{ AppendOutcome::Unknown });
+        return;
+      case 3:
+        // Still on its way when the submitter gives up waiting.
+        late_.push_back(aEntry);
+        Feed(aSubmitter, AppendAnswered{ AppendOutcome::Unknown });
+        return;
+      default:
+        Feed(aSubmitter, AppendAnswered{ log_.Create(aEntry) });
+        return;
+    }
+  }
+
+  FakeLog log_;
+  std::vector<Submitter> submitters_;
+  std::vector<Entry> late_;
+};
+
+int CountInLog(const FakeLog& aLog, const std::string& aId)
+{
+  int count = 0;
+  for (const Entry& entry : aLog.All()) {
+    count += entry.note.id == aId ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<Note> CrossingNotes()
+{
+  std::vector<Note> notes;
+  Configuration base = MakeFirstConfiguration();
+  for (int i = 0; i < 3; ++i) {
+    Note note = *LikelyNote(base, NameFrom("crossing", i));
+    note.base = 1;
+    notes.push_back(note);
+  }
+  // Operators repeat a note through other nodes when an answer does not come.
+  notes.push_back(notes[0]);
+  notes.push_back(notes[1]);
+  return notes;
+}
+
+} // namespace
+
+Test(submissions, agree_with_the_log_whatever_the_store_answers)
+{
+  CHECK_PROPERTY("accepted means once in the log, refused means never", [] {
+    Race race(CrossingNotes());
+    RC_ASSERT(race.Log().Create(*MakeEntry(Configuration(), MakeFirstNote(), 0)) ==
+              AppendOutcome::Written);
+    int steps = *rc::gen::inRange(10, 80);
+    for (int i = 0; i < steps; ++i) {
+      int action = *rc::gen::inRange(0, 12);
+      if (action == 0) {
+        race.LandOne();
+      } else if (action == 1) {
+        race.Log().CompactAllButNewest();
+      } else {
+        size_t who = *rc::gen::inRange<size_t>(0, race.All().size());
+        race.Step(race.All()[who], *rc::gen::inRange(0, 5));
+      }
+    }
+    race.Finish();
+    for (const Submitter& submitter : race.All()) {
+      int count = CountInLog(race.Log(), submitter.submission.NoteId());
+      RC_ASSERT(count <= 1);
+      if (const auto* accepted = std::get_if<NoteAccepted>(&submitter.effect)) {
+        RC_ASSERT(count == 1);
+        RC_ASSERT(race.Log().All()[accepted->version - 1].note.id == submitter.submission.NoteId());
+      } else {
+        RC_ASSERT(std::holds_alternative<NoteRefused>(submitter.effect));
+        RC_ASSERT(count == 0);
+      }
+    }
+  });
+}
+
+Test(submissions, never_say_refused_while_a_write_may_land)
+{
+  Note first = MakeFirstNote();
+  Submission submission(first, TimePoint(seconds(1)));
+  submission.Begin();
+  Configuration empty;
+  auto append = submission.On(LogIsCurrent{ empty }, TimePoint());
+  cr_assert(std::holds_alternative<AppendEntry>(append));
+  // The outcome stays unknown until the time is up: that is undecided, not refused.
+  auto late = submission.On(AppendAnswered{ AppendOutcome::Unknown }, TimePoint(seconds(2)));
+  cr_assert(std::holds_alternative<NoteUndecided>(late));
+}
+
+Test(submissions, decide_nothing_on_a_log_that_has_lost_entries)
+{
+  Note note;
+  note.id = "later";
+  note.change.services = { ServiceSpec{ "s0", 7 } };
+  Submission submission(note, TimePoint(seconds(10)));
+  submission.Begin();
+  Configuration first = MakeFirstConfiguration();
+  auto append = submission.On(LogIsCurrent{ first }, TimePoint());
+  cr_assert(std::holds_alternative<AppendEntry>(append));
+  (void)submission.On(AppendAnswered{ AppendOutcome::Unknown }, TimePoint());
+  (void)submission.On(RetryIsDue{}, TimePoint());
+  // The store came back without version 1: on it the note would be refused as unknown object.
+  Configuration empty;
+  auto effect = submission.On(LogIsCurrent{ empty }, TimePoint());
+  cr_assert(std::holds_alternative<RetryAfter>(effect));
+}
--- /dev/null
+++ b/test/support/Cluster.cpp
@@ -0,0 +1,408 @@
+#include "support/Cluster.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace dandelion::testing {
+
+namespace {
+
+constexpr Duration kAskLimit = seconds(3);
+constexpr Duration kPoll = milliseconds(30);
+constexpr int kOctets = 250;
+
+std::string BuildFolder()
+{
+  const char* folder = std::getenv("TEST_BUILD");
+  return folder == nullptr ? "build" : folder;
+}
+
+CallResult ToCallResult(const HttpResult& aResult)
+{
+  CallResult call;
+  call.isAnswered = aResult.outcome == HttpOutcome::Answered;
+  call.status = aResult.response.status;
+  call.outcome = FindHeader(aResult.response.headers, kOutcomeHeader);
+  call.error = FindHeader(aResult.response.headers, "dandelion-error");
+  call.upstream = FindHeader(aResult.response.headers, "x-upstream");
+  call.callId = FindHeader(aResult.response.headers, "x-call-id");
+  call.body = aResult.response.body;
+  return call;
+}
+
+} // namespace
+
+Cluster::Cluster(ClusterShape aShape)
+  : shape_(aShape)
+  , build_(BuildFolder())
+  , client_(loop_)
+  , nodes_(static_cast<size_t>(aShape.nodes))
+{
+  // Addresses by process, so that tests that run side by side do not meet.
+  int number = getpid();
+  prefix_ = fmt::format("127.{}.{}.", 20 + number / kOctets % 200, number % kOctets);
+  folder_ = fmt::format("/tmp/dandelion-test-{}", number);
+  std::filesystem::create_directories(folder_);
+}
+
+Cluster::~Cluster()
+{
+  for (Place& place : nodes_) {
+    End(place.node, SIGKILL);
+    End(place.upstream, SIGKILL);
+  }
+  End(store_, SIGKILL);
+  End(link_, SIGKILL);
+  if (std::getenv("TEST_KEEP") == nullptr) {
+    std::filesystem::remove_all(folder_);
+  }
+}
+
+void Cluster::Start()
+{
+  store_ = Spawn("store", { "store_standin", "--ip=" + prefix_ + "250", "--port=2379" });
+  if (shape_.hasPaidLink) {
+    StartLink();
+  }
+  for (int i = 0; i < shape_.nodes; ++i) {
+    if (shape_.startsUpstreams) {
+      nodes_[static_cast<size_t>(i)].upstream =
+        Spawn(fmt::format("upstream-{}", i),
+              { "upstream_standin",
+                "--ip=" + IpOf(i),
+                "--port=8080",
+                "--name=" + IdOf(i),
+                fmt::format("--slots={}", shape_.upstreamSlots),
+                fmt::format("--work_ms={}", shape_.workMs) });
+    }
+    WriteSettings(i, false);
+    StartNode(i);
+  }
+  bool areAllKnown = WaitUntil(
+    [&] {
+      for (int i = 0; i < shape_.nodes; ++i) {
+        if (AliveSeenBy(i) != shape_.nodes) {
+          return false;
+        }
+      }
+      return true;
+    },
+    seconds(60));
+  if (!areAllKnown) {
+    fmt::print(stderr, "cluster: the nodes have not found each other\n");
+  }
+}
+
+std::string Cluster::IdOf(int aNode) const
+{
+  return fmt::format("node-{}", aNode);
+}
+
+std::string Cluster::ServiceOf(int aNode) const
+{
+  return fmt::format("s{}", aNode / (2 * shape_.zonesPerRegion) % shape_.services);
+}
+
+std::string Cluster::RegionOf(int aNode) const
+{
+  return aNode % 2 == 0 ? "east" : "west";
+}
+
+std::string Cluster::ZoneOf(int aNode) const
+{
+  return fmt::format("{}-{}", RegionOf(aNode), aNode / 2 % shape_.zonesPerRegion);
+}
+
+std::string Cluster::IpOf(int aNode) const
+{
+  return fmt::format("{}{}", prefix_, 1 + aNode);
+}
+
+void Cluster::WriteSettings(int aNode, bool aNamesSeeds)
+{
+  auto endpoint = [&](const std::string& aIp, int aPort) {
+    return Json{ { "ip", aIp }, { "port", aPort } };
+  };
+  std::string ip = IpOf(aNode);
+  Json settings = { { "id", IdOf(aNode) },
+                    { "region", RegionOf(aNode) },
+                    { "zone", ZoneOf(aNode) },
+                    { "service", ServiceOf(aNode) },
+                    { "upstream", endpoint(ip, 8080) },
+                    { "front", endpoint(ip, 7001) },
+                    { "peers", endpoint(ip, 7002) },
+                    { "operators", endpoint(ip, 7003) },
+                    { "store",
+                      { { "servers", Json::array({ endpoint(prefix_ + "250", 2379) }) },
+                        { "region", "east" },
+                        { "timeout_ms", 500 } } } };
+  if (shape_.hasPaidLink) {
+    settings["peers_from_other_regions"] = endpoint(ip, 7102);
+  }
+  if (aNamesSeeds) {
+    Json seeds = Json::array();
+    for (int other = 0; other < shape_.nodes; ++other) {
+      if (other != aNode && RegionOf(other) == RegionOf(aNode)) {
+        seeds.push_back(endpoint(IpOf(other), 7002));
+      }
+    }
+    settings["seeds"] = seeds;
+  }
+  std::ofstream(fmt::format("{}/node-{}.json", folder_, aNode)) << settings.dump(2);
+}
+
+void Cluster::StartNode(int aNode)
+{
+  std::string settings = fmt::format("{}/node-{}.json", folder_, aNode);
+  nodes_[static_cast<size_t>(aNode)].node =
+    Spawn(IdOf(aNode), { "dandeliond", "--settings=" + settings });
+}
+
+void Cluster::StartLink()
+{
+  Json mappings = Json::array();
+  for (int i = 0; i < shape_.nodes; ++i) {
+    mappings.push_back(Json{ { "from", { { "ip", IpOf(i) }, { "port", 7102 } } },
+                             { "to", { { "ip", IpOf(i) }, { "port", 7002 } } },
+                             { "direction", "to-" + RegionOf(i) } });
+  }
+  Json traits = { { "control", { { "ip", prefix_ + "251" }, { "port", 8001 } } },
+                  { "mappings", mappings } };
+  std::string path = folder_ + "/link.json";
+  std::ofstream(path) << traits.dump(2);
+  link_ = Spawn("link", { "link_standin", "--settings=" + path });
+  WaitUntil([&] { return !LinkStats().empty(); });
+}
+
+pid_t Cluster::Spawn(const std::string& aName, std::vector<std::string> aWords)
+{
+  std::string program = build_ + "/" + aWords[0];
+  std::string log = fmt::format("{}/{}.log", folder_, aName);
+  std::vector<char*> words;
+  for (std::string& word : aWords) {
+    words.push_back(word.data());
+  }
+  words.push_back(nullptr);
+  pid_t pid = fork();
+  if (pid != 0) {
+    return pid;
+  }
+  // A test that fails ends without its destructors; its processes must end with it.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(output, STDERR_FILENO);
+  execv(program.c_str(), words.data());
+  _exit(EXIT_FAILURE);
+}
+
+void Cluster::End(pid_t& aPid, int aSignal)
+{
+  if (aPid > 0) {
+    kill(aPid, aSignal);
+    kill(aPid, SIGCONT);
+    waitpid(aPid, nullptr, 0);
+    aPid = 0;
+  }
+}
+
+void Cluster::Kill(int aNode)
+{
+  End(nodes_[static_cast<size_t>(aNode)].node, SIGKILL);
+}
+
+void Cluster::Freeze(int aNode)
+{
+  kill(PidOf(aNode), SIGSTOP);
+}
+
+void Cluster::Thaw(int aNode)
+{
+  kill(PidOf(aNode), SIGCONT);
+}
+
+void Cluster::Restart(int aNode)
+{
+  WriteSettings(aNode, true);
+  StartNode(aNode);
+}
+
+void Cluster::Terminate(int aNode)
+{
+  kill(PidOf(aNode), SIGTERM);
+}
+
+int Cluster::WaitForExit(int aNode)
+{
+  pid_t& pid = nodes_[static_cast<size_t>(aNode)].node;
+  int state = 0;
+  bool hasEnded = WaitUntil([&] { return waitpid(pid, &state, WNOHANG) == pid; }, seconds(60));
+  pid = hasEnded ? 0 : pid;
+  return hasEnded && WIFEXITED(state) ? WEXITSTATUS(state) : -1;
+}
+
+void Cluster::SetStoreFaults(const std::string& aJson)
+{
+  Ask({ prefix_ + "250", 2379 }, HttpRequest{ "POST", "/control", {}, aJson }, kAskLimit);
+}
+
+void Cluster::SetLinkFaults(const std::string& aJson)
+{
+  Ask({ prefix_ + "251", 8001 }, HttpRequest{ "POST", "/control", {}, aJson }, kAskLimit);
+}
+
+Json Cluster::StoreStats()
+{
+  return AskJson({ prefix_ + "250", 2379 }, HttpRequest{ "GET", "/stats", {}, "" }, kAskLimit);
+}
+
+Json Cluster::LinkStats()
+{
+  return AskJson({ prefix_ + "251", 8001 }, HttpRequest{ "GET", "/stats", {}, "" }, kAskLimit);
+}
+
+Json Cluster::Submit(int aNode, const Json& aNote, Duration aTimeLimit)
+{
+  HttpRequest request{ "POST", "/v1/notes", {}, aNote.dump() };
+  request.headers.emplace_back("dandelion-time-limit-ms",
+                               std::to_string(ToMilliseconds(aTimeLimit)));
+  return AskJson(Operators(aNode), request, aTimeLimit + kAskLimit);
+}
+
+Json Cluster::StatusOf(int aNode, const std::string& aId)
+{
+  return AskJson(Operators(aNode), HttpRequest{ "GET", "/v1/notes/" + aId, {}, "" }, kAskLimit);
+}
+
+Json Cluster::VersionOf(int aNode)
+{
+  return AskJson(Operators(aNode), HttpRequest{ "GET", "/v1/version", {}, "" }, kAskLimit);
+}
+
+std::string Cluster::MetricsOf(int aNode)
+{
+  return Ask(Operators(aNode), HttpRequest{ "GET", "/metrics", {}, "" }, kAskLimit).response.body;
+}
+
+int Cluster::AliveSeenBy(int aNode)
+{
+  Json answer = AskJson(Operators(aNode), HttpRequest{ "GET", "/v1/nodes", {}, "" }, kAskLimit);
+  int alive = 0;
+  for (const Json& node : answer.value("nodes", Json::array())) {
+    alive += node.value("state", "") == "alive" ? 1 : 0;
+  }
+  return VersionOf(aNode).value("ready", false) ? alive : 0;
+}
+
+bool Cluster::WaitInForce(int aNode, const std::string& aId, Duration aLimit)
+{
+  return WaitUntil([&] { return StatusOf(aNode, aId).value("state", "") == "in-force-everywhere"; },
+                   aLimit);
+}
+
+CallResult Cluster::Call(int aNode,
+                         const std::string& aMethod,
+                         const std::string& aPath,
+                         const std::string& aCallId,
+                         const HttpHeaders& aHeaders)
+{
+  HttpRequest request{ aMethod, aPath, aHeaders, "" };
+  request.headers.emplace_back("x-call-id", aCallId);
+  return ToCallResult(Ask({ IpOf(aNode), 7001 }, request, seconds(20)));
+}
+
+void Cluster::BeginCall(int aNode,
+                        const std::string& aMethod,
+                        const std::string& aPath,
+                        const std::string& aCallId,
+                        std::function<void(const CallResult&)> aDone)
+{
+  HttpRequest request{ aMethod, aPath, { { "x-call-id", aCallId } }, "" };
+  client_.Send(
+    { IpOf(aNode), 7001 },
+    request,
+    seconds(30),
+    [done = std::move(aDone)](const HttpResult& aResult) { done(ToCallResult(aResult)); });
+}
+
+std::vector<std::string> Cluster::JournalOf(int aNode)
+{
+  Json journal =
+    AskJson({ IpOf(aNode), 8080 }, HttpRequest{ "GET", "/standin/journal", {}, "" }, kAskLimit);
+  std::vector<std::string> ids;
+  for (const Json& id : journal.value("calls", Json::array())) {
+    ids.push_back(id.get<std::string>());
+  }
+  return ids;
+}
+
+bool Cluster::WaitUntil(const std::function<bool()>& aCondition, Duration aLimit)
+{
+  TimePoint deadline = loop_.Now() + aLimit;
+  while (!aCondition()) {
+    if (loop_.Now() >= deadline) {
+      return false;
+    }
+    Wait(kPoll);
+  }
+  return true;
+}
+
+void Cluster::Wait(Duration aTime)
+{
+  Timer timer = loop_.After(aTime, [this] { loop_.Stop(); });
+  loop_.Run();
+}
+
+HttpResult Cluster::Ask(const Endpoint& aServer, const HttpRequest& aRequest, Duration aLimit)
+{
+  HttpResult result;
+  client_.Send(aServer, aRequest, aLimit, [&](const HttpResult& aResult) {
+    result = aResult;
+    loop_.Stop();
+  });
+  loop_.Run();
+  return result;
+}
+
+Json Cluster::AskJson(const Endpoint& aServer, const HttpRequest& aRequest, Duration aLimit)
+{
+  HttpResult result = Ask(aServer, aRequest, aLimit);
+  Json json = Json::parse(result.response.body, nullptr, /*allow_exceptions=*/false);
+  return json.is_object() ? json : Json::object();
+}
+
+Json Cluster::FirstNote() const
+{
+  Json services = Json::array();
+  Json routes = Json::array();
+  for (int i = 0; i < shape_.services; ++i) {
+    std::string name = fmt::format("s{}", i);
+    services.push_back(Json{ { "name", name }, { "slots", shape_.upstreamSlots } });
+    routes.push_back(Json{ { "name", name },
+                           { "path_prefix", "/" + name },
+                           { "service", name },
+                           { "policy", "usual" } });
+  }
+  Json policy = { { "name", "usual" }, { "timeout_ms", 10000 }, { "cross_region", true } };
+  return Json{
+    { "id", "first" },
+    { "add",
+      { { "services", services }, { "routes", routes }, { "policies", Json::array({ policy }) } } }
+  };
+}
+
+Json ChangeNote(const std::string& aId, const std::string& aService, int aSlots)
+{
+  Json service = { { "name", aService }, { "slots", aSlots } };
+  return Json{ { "id", aId }, { "change", { { "services", Json::array({ service }) } } } };
+}
+
+} // namespace dandelion::testing
--- /dev/null
+++ b/test/support/Notes.h
@@ -0,0 +1,126 @@
+/// Notes for tests: made by hand, or generated from few names so that they collide often.
+#ifndef DANDELION_TEST_SUPPORT_NOTES_H
+#define DANDELION_TEST_SUPPORT_NOTES_H
+
+#include "release/Release.h"
+
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace dandelion::testing {
+
+inline std::string NameFrom(const char* aPrefix, int aIndex)
+{
+  return aPrefix + std::to_string(aIndex);
+}
+
+inline RouteSpec MakeRoute(const std::string& aName, const std::string& aService)
+{
+  return RouteSpec{ aName, "/" + aName, aService, "policy" };
+}
+
+/// Adds a policy, the services s0 and s1 and a route to each.
+inline Note MakeFirstNote()
+{
+  Note note;
+  note.id = "first";
+  note.add.policies = { PolicySpec{ "policy" } };
+  note.add.services = { ServiceSpec{ "s0" }, ServiceSpec{ "s1" } };
+  note.add.routes = { MakeRoute("r0", "s0"), MakeRoute("r1", "s1") };
+  return note;
+}
+
+/// A configuration after `MakeFirstNote`.
+inline Configuration MakeFirstConfiguration()
+{
+  return *Apply(Configuration(), MakeFirstNote(), 0);
+}
+
+/// Every route has its service and its policy. Judged here apart from the code under test.
+inline bool IsClosed(const Configuration& aConfiguration)
+{
+  for (const auto& [name, route] : aConfiguration.routes) {
+    if (aConfiguration.services.count(route.spec.service) == 0 ||
+        aConfiguration.policies.count(route.spec.policy) == 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// A note that may or may not be valid: its few names are shared with all others.
+inline rc::Gen<Note> AnyNote()
+{
+  return rc::gen::exec([] {
+    Note note;
+    auto index = [](int aEnd) { return *rc::gen::inRange(0, aEnd); };
+    note.id = NameFrom("n", index(1000));
+    auto service = [&] { return NameFrom("s", index(4)); };
+    auto someOf = [&](int aMost, auto aAdd) {
+      int count = index(aMost);
+      for (int i = 0; i < count; ++i) {
+        aAdd();
+      }
+    };
+    someOf(2, [&] { note.add.policies.push_back(PolicySpec{ "policy" }); });
+    someOf(3, [&] { note.add.services.push_back(ServiceSpec{ service(), 1 + index(8) }); });
+    someOf(3, [&] { note.add.routes.push_back(MakeRoute(NameFrom("r", index(4)), service())); });
+    someOf(2, [&] { note.change.services.push_back(ServiceSpec{ service(), 1 + index(8) }); });
+    someOf(2, [&] { note.change.routes.push_back(MakeRoute(NameFrom("r", index(4)), service())); });
+    someOf(2, [&] { note.withdraw.services.push_back(service()); });
+    someOf(2, [&] { note.withdraw.routes.push_back(NameFrom("r", index(4))); });
+    return note;
+  });
+}
+
+/// A note of one step that mostly fits `aConfiguration`: each of its objects is chosen from there.
+inline rc::Gen<Note> LikelyNote(const Configuration& aConfiguration, const std::string& aId)
+{
+  return rc::gen::exec([&aConfiguration, aId] {
+    Note note;
+    note.id = aId;
+    auto index = [](int aEnd) { return *rc::gen::inRange(0, aEnd); };
+    std::string service = NameFrom("s", index(4));
+    std::string route = NameFrom("r", index(4));
+    bool hasService = aConfiguration.services.count(service) > 0;
+    bool hasRoute = aConfiguration.routes.count(route) > 0;
+    switch (index(3)) {
+      case 0:
+        (hasService ? note.change : note.add).services = { ServiceSpec{ service, 1 + index(8) } };
+        break;
+      case 1:
+        (hasRoute ? note.change : note.add).routes = { MakeRoute(route, service) };
+        if (!hasService) {
+          note.add.services = { ServiceSpec{ service } };
+        }
+        break;
+      default:
+        (hasRoute ? note.withdraw.routes : note.withdraw.services) = { hasRoute ? route : service };
+        break;
+    }
+    return note;
+  });
+}
+
+/// A log of `aLength` entries at most, each from a note that was valid where it stands.
+inline rc::Gen<std::vector<Entry>> AnyLog(int aLength)
+{
+  return rc::gen::exec([aLength] {
+    std::vector<Entry> log{ *MakeEntry(Configuration(), MakeFirstNote(), 0) };
+    Configuration current = MakeFirstConfiguration();
+    for (int i = 0; i < aLength; ++i) {
+      Note note = *LikelyNote(current, NameFrom("step", i));
+      auto entry = MakeEntry(current, note, current.version);
+      if (entry.ok()) {
+        current = *Apply(current, note, current.version);
+        log.push_back(*std::move(entry));
+      }
+    }
+    return log;
+  });
+}
+
+} // namespace dandelion::testing
+
+#endif
--- /dev/null
+++ b/tools/LinkStandin.cpp
@@ -0,0 +1,310 @@
+#include "LinkStandin.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace dandelion {
+
+namespace {
+
+constexpr int64_t kBitsPerByte = 8;
+constexpr int64_t kMicrosecondsPerMillisecond = 1000;
+constexpr size_t kLargestDatagram = 65507;
+
+sockaddr_in ToAddress(const Endpoint& aEndpoint)
+{
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aEndpoint.port);
+  inet_pton(AF_INET, aEndpoint.ip.c_str(), &address.sin_addr);
+  return address;
+}
+
+std::string Reverse(const std::string& aDirection)
+{
+  return aDirection + "-back";
+}
+
+} // namespace
+
+/// One TCP connection through the link.
+class LinkStandin::TcpForward
+{
+public:
+  TcpForward(LinkStandin& aOwner, uint64_t aId, const LinkMapping& aMapping, int aSocket)
+    : owner_(aOwner)
+    , id_(aId)
+    , direction_(aMapping.direction)
+  {
+    near_ = Make(aSocket);
+    far_ = Make(-1);
+    sockaddr_in address = ToAddress(aMapping.to);
+    bufferevent_socket_connect(far_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+
+  ~TcpForward()
+  {
+    bufferevent_free(near_);
+    bufferevent_free(far_);
+  }
+
+  void Silence() { isSilent_ = true; }
+
+private:
+  bufferevent* Make(int aSocket)
+  {
+    bufferevent* made = bufferevent_socket_new(
+      owner_.loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(made, &TcpForward::OnReadable, nullptr, &TcpForward::OnEvent, this);
+    bufferevent_enable(made, EV_READ | EV_WRITE);
+    return made;
+  }
+
+  static void OnReadable(bufferevent* aSource, void* aContext)
+  {
+    auto* forward = static_cast<TcpForward*>(aContext);
+    evbuffer* input = bufferevent_get_input(aSource);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    if (forward->isSilent_) {
+      return;
+    }
+    LinkStandin& owner = forward->owner_;
+    bool isOutward = aSource == forward->near_;
+    std::string direction = isOutward ? forward->direction_ : Reverse(forward->direction_);
+    owner.tcpBytes_[direction] += bytes.size();
+    uint64_t id = forward->id_;
+    owner.Carry(direction, bytes.size(), [&owner, id, isOutward, bytes = std::move(bytes)] {
+      auto found = owner.tcp_.find(id);
+      if (found != owner.tcp_.end()) {
+        bufferevent_write(
+          isOutward ? found->second->far_ : found->second->near_, bytes.data(), bytes.size());
+      }
+    });
+  }
+
+  static void OnEvent(bufferevent* /* aSource */, short aEvents, void* aContext)
+  {
+    auto* forward = static_cast<TcpForward*>(aContext);
+    bool isOver = (aEvents & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+    if (!isOver || forward->isSilent_) {
+      return;
+    }
+    // The end travels behind the bytes that were sent before it.
+    LinkStandin& owner = forward->owner_;
+    uint64_t id = forward->id_;
+    owner.Carry(forward->direction_, 0, [&owner, id] { owner.tcp_.erase(id); });
+  }
+
+  LinkStandin& owner_;
+  uint64_t id_;
+  std::string direction_;
+  bufferevent* near_;
+  bufferevent* far_;
+  bool isSilent_ = false;
+};
+
+/// One UDP port of the link, with a socket of its own for each sender.
+class LinkStandin::UdpForward
+{
+public:
+  UdpForward(LinkStandin& aOwner, const LinkMapping& aMapping)
+    : owner_(aOwner)
+    , mapping_(aMapping)
+  {
+  }
+
+  ~UdpForward()
+  {
+    for (const auto& [socket, readable] : events_) {
+      event_free(readable);
+      close(socket);
+    }
+  }
+
+  bool Start()
+  {
+    listening_ = Open();
+    sockaddr_in address = ToAddress(mapping_.from);
+    return bind(listening_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  }
+
+private:
+  using Sender = std::pair<uint32_t, uint16_t>;
+
+  int Open()
+  {
+    int opened = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    auto onReadable = [](evutil_socket_t aSocket, short, void* aContext) {
+      static_cast<UdpForward*>(aContext)->Receive(aSocket);
+    };
+    event* readable =
+      event_new(owner_.loop_.Base(), opened, EV_READ | EV_PERSIST, onReadable, this);
+    event_add(readable, nullptr);
+    events_[opened] = readable;
+    return opened;
+  }
+
+  void Receive(int aSocket)
+  {
+    std::string bytes(kLargestDatagram, '\0');
+    sockaddr_in source = {};
+    socklen_t length = sizeof(source);
+    ssize_t size = recvfrom(
+      aSocket, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr*>(&source), &length);
+    if (size < 0 || owner_.faults_.isCut) {
+      return;
+    }
+    bytes.resize(static_cast<size_t>(size));
+    bool isOutward = aSocket == listening_;
+    std::string direction = isOutward ? mapping_.direction : Reverse(mapping_.direction);
+    owner_.udpBytes_[direction] += bytes.size();
+    int through = listening_;
+    sockaddr_in target = ToAddress(mapping_.to);
+    if (isOutward) {
+      through = SocketFor(source);
+    } else {
+      target = senders_.at(aSocket);
+    }
+    owner_.Carry(direction, bytes.size(), [through, target, bytes = std::move(bytes)] {
+      (void)sendto(through,
+                   bytes.data(),
+                   bytes.size(),
+                   0,
+                   reinterpret_cast<const sockaddr*>(&target),
+                   sizeof(target));
+    });
+  }
+
+  int SocketFor(const sockaddr_in& aSource)
+  {
+    Sender sender(aSource.sin_addr.s_addr, aSource.sin_port);
+    auto found = sockets_.find(sender);
+    if (found != sockets_.end()) {
+      return found->second;
+    }
+    int opened = Open();
+    sockets_[sender] = opened;
+    senders_[opened] = aSource;
+    return opened;
+  }
+
+  LinkStandin& owner_;
+  LinkMapping mapping_;
+  int listening_ = -1;
+  std::map<int, event*> events_;
+  std::map<Sender, int> sockets_;
+  std::map<int, sockaddr_in> senders_;
+};
+
+LinkStandin::LinkStandin(Loop& aLoop, LinkTraits aTraits)
+  : loop_(aLoop)
+  , traits_(std::move(aTraits))
+  , control_(aLoop,
+             [this](const std::shared_ptr<HttpExchange>& aExchange) { OnControl(aExchange); })
+{
+}
+
+LinkStandin::~LinkStandin()
+{
+  for (evconnlistener* listener : listeners_) {
+    evconnlistener_free(listener);
+  }
+}
+
+absl::Status LinkStandin::Start()
+{
+  for (const LinkMapping& mapping : traits_.mappings) {
+    sockaddr_in address = ToAddress(mapping.from);
+    struct Context
+    {
+      LinkStandin* owner;
+      LinkMapping mapping;
+    };
+    // Lives as long as the process, as the listener does.
+    auto* context = new Context{ this, mapping };
+    auto onAccept = [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aContext) {
+      auto* accepted = static_cast<Context*>(aContext);
+      accepted->owner->Accept(accepted->mapping, aSocket);
+    };
+    evconnlistener* listener = evconnlistener_new_bind(loop_.Base(),
+                                                       onAccept,
+                                                       context,
+                                                       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                                       -1,
+                                                       reinterpret_cast<sockaddr*>(&address),
+                                                       sizeof(address));
+    auto udp = std::make_unique<UdpForward>(*this, mapping);
+    if (listener == nullptr || !udp->Start()) {
+      return MakeError(ErrorKind::InvalidSettings,
+                       fmt::format("cannot listen on {}", ToText(mapping.from)));
+    }
+    listeners_.push_back(listener);
+    udp_.push_back(std::move(udp));
+  }
+  return control_.Listen(traits_.control, HttpLimits());
+}
+
+void LinkStandin::SetFaults(const LinkFaults& aFaults)
+{
+  faults_ = aFaults;
+  if (faults_.isCut) {
+    tcp_.clear();
+  }
+  if (faults_.silencePresent) {
+    for (auto& [id, forward] : tcp_) {
+      forward->Silence();
+    }
+  }
+}
+
+void LinkStandin::OnControl(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  if (aExchange->Request().target == "/stats") {
+    Json stats = { { "tcp_bytes", tcpBytes_ }, { "udp_bytes", udpBytes_ } };
+    aExchange->Reply(HttpResponse{ 200, {}, stats.dump() });
+    return;
+  }
+  Json json = Json::parse(aExchange->Request().body, nullptr, false);
+  auto faults = FromJson<LinkFaults>(json, ErrorKind::Usage);
+  if (!faults.ok()) {
+    aExchange->Reply(HttpResponse{ 400, {}, Reason(faults.status()) });
+    return;
+  }
+  SetFaults(*faults);
+  aExchange->Reply(HttpResponse{ 200, {}, "{}" });
+}
+
+void LinkStandin::Carry(const std::string& aDirection,
+                        size_t aBytes,
+                        std::function<void()> aDeliver)
+{
+  TimePoint now = loop_.Now();
+  TimePoint& freeAt = freeAt_[aDirection];
+  int64_t bits = static_cast<int64_t>(aBytes) * kBitsPerByte;
+  Duration sending(bits * kMicrosecondsPerMillisecond / traits_.kilobitsPerSecond);
+  freeAt = std::max(freeAt, now) + sending;
+  uint64_t id = nextTimer_++;
+  timers_[id] = loop_.After(freeAt - now + milliseconds(traits_.delayMs),
+                            [this, id, deliver = std::move(aDeliver)] {
+                              deliver();
+                              timers_.erase(id);
+                            });
+}
+
+void LinkStandin::Accept(const LinkMapping& aMapping, int aSocket)
+{
+  if (faults_.isCut) {
+    close(aSocket);
+    return;
+  }
+  uint64_t id = nextId_++;
+  tcp_[id] = std::make_unique<TcpForward>(*this, id, aMapping, aSocket);
+}
+
+} // namespace dandelion
