--- a/src/dandeliond/SubmissionsService.cpp
+++ b/src/dandeliond/SubmissionsService.cpp
@@ -102,9 +102,7 @@
                  Finish(aKey, status);
                },
                [&](const NoteRefused& aRefused) {
-                 NoteStatus status = StatusWith(id, NoteState::Refused, aRefused.reason);
-                 RecordRefusal(status);
-                 Finish(aKey, status);
+                 RecordRefusal(aKey, StatusWith(id, NoteState::Refused, aRefused.reason));
                },
                [&](const NoteUndecided& aUndecided) {
                  Finish(aKey, StatusWith(id, NoteState::Undecided, aUndecided.reason));
@@ -159,6 +157,9 @@
 void SubmissionsService::Finish(Key aKey, NoteStatus aStatus)
 {
   auto found = pending_.find(aKey);
+  if (found == pending_.end()) {
+    return;
+  }
   OnStatus done = std::move(found->second->done);
   pending_.erase(found);
   Log(LogPart::Releases,
@@ -171,11 +172,18 @@
   done(aStatus);
 }
 
-void SubmissionsService::RecordRefusal(const NoteStatus& aStatus)
+void SubmissionsService::RecordRefusal(Key aKey, NoteStatus aStatus)
 {
   Refusal refusal{ *aStatus.error, aStatus.reason };
-  store_->Put(
-    kRefusalPrefix + aStatus.id, Encode(refusal), kRefusalKept, [](const absl::Status&) {});
+  // The operator hears of the refusal only when every node can tell of it. Where the store cannot
+  // keep it, the refusal stands all the same.
+  auto onPut = [this, aKey, aStatus](const absl::Status& aPut) {
+    if (!aPut.ok()) {
+      Log(LogPart::Releases, LogLevel::Warning, "A refusal is not kept: {}.", Reason(aPut));
+    }
+    Finish(aKey, aStatus);
+  };
+  store_->Put(kRefusalPrefix + aStatus.id, Encode(refusal), kRefusalKept, onPut);
 }
 
 void SubmissionsService::StatusOf(const std::string& aId, OnStatus aDone)
--- a/src/dandeliond/SubmissionsService.h
+++ b/src/dandeliond/SubmissionsService.h
@@ -36,7 +36,7 @@
   void ClearRefusal(Key aKey);
   void ReadLogFor(Key aKey);
   void Finish(Key aKey, NoteStatus aStatus);
-  void RecordRefusal(const NoteStatus& aStatus);
+  void RecordRefusal(Key aKey, NoteStatus aStatus);
   void ReadRefusal(NoteStatus aStatus, OnStatus aDone);
   void AddProgress(NoteStatus aStatus, OnStatus aDone);
   bool IsPending(const std::string& aId) const;
