--- a/src/spread/Overlay.cpp
+++ b/src/spread/Overlay.cpp
@@ -44,7 +44,10 @@
 {
   for (const std::string& zone : aTable.Zones()) {
     std::vector<const Member*> ranked = aTable.RankedInZone(zone);
-    if (zone != aSelf.zone && !ranked.empty() && ranked.front()->region == aSelf.region) {
+    bool isOfRegion = !ranked.empty() && ranked.front()->region == aSelf.region;
+    // The region's relay need not be the root of its own zone's tree.
+    if (isOfRegion && ranked.front()->id != aSelf.id &&
+        !Contains(aTargets, ranked.front()->id)) {
       aTargets.push_back(ranked.front());
     }
   }
--- a/src/spread/Overlay.h
+++ b/src/spread/Overlay.h
@@ -22,8 +22,8 @@
 bool Contains(const std::vector<const Member*>& aMembers, const std::string& aId);
 
 /// Members to which `aSelf` pushes a version that it has just put in force:
-/// its children in the zone's tree; from the region's relay, the relays of the region's other
-/// zones where the region does not watch the store; from the store region's relay, the relays of
+/// its children in the zone's tree; from the region's relay, the relays of the region's zones where
+/// the region does not watch the store; from the store region's relay, the relays of
 /// the other regions.
 std::vector<const Member*> PushTargets(const MemberTable& aTable,
                                        const Member& aSelf,
--- /dev/null
+++ b/test/error/SettingsAreCheckedWhole.cpp
@@ -0,0 +1,60 @@
+/// Settings are checked whole before the start; every fault is listed with its path.
+#include "support/Check.h"
+
+#include "dandeliond/NodeSettings.h"
+
+#include <fstream>
+#include <sstream>
+
+using namespace dandelion;
+
+Test(settings, of_the_examples_are_sound)
+{
+  for (const char* path :
+       { "examples/whitfield-barrett/node.json", "examples/fraser-valley/node.json" }) {
+    auto settings = LoadNodeSettings(path);
+    cr_assert(settings.ok(), "%s: %s", path, Reason(settings.status()).c_str());
+  }
+}
+
+Test(settings, list_every_fault_with_its_path)
+{
+  std::string text = R"({
+    // Faults of every kind.
+    "id": "", "region": "r", "zone": 5, "service": "s",
+    "upstream": { "ip": "localhost", "port": 8080 },
+    "front": { "ip": "10.0.0.1", "port": 70000 },
+    "peers": { "ip": "10.0.0.1" },
+    "operators": { "ip": "10.0.0.1", "port": 1 },
+    "store": { "servers": [], "region": "r", "timeout_ms": 1 },
+    "log_level": "loud", "speed": 1
+  })";
+  std::string reason = Reason(ParseNodeSettings(text).status());
+  for (const char* part : { "id must have 1 to",
+                            "zone must be a text",
+                            "front.port must be a whole number",
+                            "peers.port is missing",
+                            "store.timeout_ms must be",
+                            "log_level must be one of",
+                            "speed is not a known key" }) {
+    cr_assert_neq(reason.find(part), std::string::npos, "%s lacks %s", reason.c_str(), part);
+  }
+}
+
+Test(settings, that_clash_are_refused)
+{
+  std::string text = R"({
+    "id": "n", "region": "r", "zone": "z", "service": "s",
+    "upstream": { "ip": "localhost", "port": 8080 },
+    "front": { "ip": "10.0.0.1", "port": 7001 },
+    "peers": { "ip": "10.0.0.1", "port": 7001 },
+    "operators": { "ip": "10.0.0.1", "port": 7003 },
+    "store": { "servers": [], "region": "r" }
+  })";
+  std::string reason = Reason(ParseNodeSettings(text).status());
+  for (const char* part : { "upstream.ip \"localhost\" is not an IPv4 number",
+                            "front and peers are both",
+                            "store.servers is empty" }) {
+    cr_assert_neq(reason.find(part), std::string::npos, "%s lacks %s", reason.c_str(), part);
+  }
+}
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -112,6 +112,7 @@
   std::string IpOf(int aNode) const;
 
   std::string ZoneOf(int aNode) const;
+  std::string StoreIpFor(int aNode) const;
   void WriteSettings(int aNode, bool aNamesSeeds);
   void StartNode(int aNode);
   void StartLink();
