--- a/src/admission/SlotQueue.cpp
+++ b/src/admission/SlotQueue.cpp
@@ -21,20 +21,36 @@
 
 } // namespace
 
-SlotQueue::SlotQueue(int64_t aSlots)
+QueueOrder MakeQueueOrder(QueueOrderName aName)
+{
+  switch (aName) {
+    case QueueOrderName::OneFifo:
+      return OneFifo{};
+    case QueueOrderName::ClassLanes:
+      return ClassLanes{};
+  }
+  return ClassLanes{};
+}
+
+SlotQueue::SlotQueue(int64_t aSlots, QueueOrder aOrder)
   : slots_(aSlots)
+  , order_(aOrder)
 {
 }
 
 AdmissionEffects SlotQueue::On(const AdmissionEvent& aEvent, TimePoint aNow)
 {
   AdmissionEffects effects;
-  std::visit(Overloaded{
-               [&](const CallArrived& aCall) { OnArrived(effects, aCall, aNow); },
-               [&](const CallFinished& aCall) { OnFinished(effects, aCall, aNow); },
-               [&](const CallCancelled& aCall) { OnCancelled(effects, aCall, aNow); },
-             },
-             aEvent);
+  std::visit(
+    Overloaded{
+      [&](const CallArrived& aCall) {
+        CallArrived arrived{ aCall.call, WaitingClass(aCall.trafficClass), aCall.deadline };
+        OnArrived(effects, arrived, aNow);
+      },
+      [&](const CallFinished& aCall) { OnFinished(effects, aCall, aNow); },
+      [&](const CallCancelled& aCall) { OnCancelled(effects, aCall, aNow); },
+    },
+    aEvent);
   return effects;
 }
 
@@ -81,8 +97,7 @@
     Run(aEffects, aCall.call, aCall.trafficClass, aNow);
     return;
   }
-  bool isTooLate = aNow + ExpectedWait(aCall.trafficClass) >= aCall.deadline;
-  if (isTooLate || waiting_ >= kMostWaitingPerSlot * slots_) {
+  if (IsHopeless(aCall, aNow) || waiting_ >= kMostWaitingPerSlot * slots_) {
     aEffects.push_back(RefuseCall{ aCall.call, ErrorKind::Overloaded });
     return;
   }
@@ -190,6 +205,28 @@
   return slots_;
 }
 
+TrafficClass SlotQueue::WaitingClass(TrafficClass aClass) const
+{
+  return std::visit(Overloaded{
+                      [](const OneFifo&) { return TrafficClass::Interactive; },
+                      [&](const ClassLanes&) { return aClass; },
+                    },
+                    order_);
+}
+
+bool SlotQueue::IsHopeless(const CallArrived& aCall, TimePoint aNow) const
+{
+  return std::visit(Overloaded{
+                      [](const OneFifo&) { return false; },
+                      [&](const ClassLanes&) {
+                        // The work itself must fit behind the wait, or its answer comes too late.
+                        Duration work = LaneOf(aCall.trafficClass).serviceTime;
+                        return aNow + ExpectedWait(aCall.trafficClass) + work >= aCall.deadline;
+                      },
+                    },
+                    order_);
+}
+
 Duration SlotQueue::ExpectedWait(TrafficClass aClass) const
 {
   const Lane& lane = LaneOf(aClass);
--- a/src/admission/SlotQueue.h
+++ b/src/admission/SlotQueue.h
@@ -46,10 +46,35 @@
 using AdmissionEffect = std::variant<RunCall, RefuseCall>;
 using AdmissionEffects = std::vector<AdmissionEffect>;
 
+/// All classes wait in one queue, whatever their deadlines; the plain way, for comparison.
+struct OneFifo
+{};
+/// A lane for each class, with slots kept free of long work and refusals of what would come late.
+struct ClassLanes
+{};
+using QueueOrder = std::variant<OneFifo, ClassLanes>;
+
+enum class QueueOrderName
+{
+  OneFifo,
+  ClassLanes,
+};
+
+template<>
+struct EnumNames<QueueOrderName>
+{
+  static constexpr EnumName<QueueOrderName> kTable[] = {
+    { QueueOrderName::OneFifo, "one-fifo" },
+    { QueueOrderName::ClassLanes, "class-lanes" },
+  };
+};
+
+QueueOrder MakeQueueOrder(QueueOrderName aName);
+
 class SlotQueue
 {
 public:
-  explicit SlotQueue(int64_t aSlots);
+  explicit SlotQueue(int64_t aSlots, QueueOrder aOrder = ClassLanes{});
 
   AdmissionEffects On(const AdmissionEvent& aEvent, TimePoint aNow);
 
@@ -93,10 +118,14 @@
   bool MayRun(TrafficClass aClass) const;
   int64_t MostRunning(TrafficClass aClass) const;
   Duration ExpectedWait(TrafficClass aClass) const;
+  bool IsHopeless(const CallArrived& aCall, TimePoint aNow) const;
+  /// The lane in which calls of a class wait.
+  TrafficClass WaitingClass(TrafficClass aClass) const;
   Lane& LaneOf(TrafficClass aClass) { return lanes_[static_cast<size_t>(aClass)]; }
   const Lane& LaneOf(TrafficClass aClass) const { return lanes_[static_cast<size_t>(aClass)]; }
 
   int64_t slots_;
+  QueueOrder order_;
   bool isClosed_ = false;
   std::array<Lane, kClassCount> lanes_;
   std::map<CallKey, RunningCall> running_;
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -11,7 +11,7 @@
 
 AdmissionService::AdmissionService(const NodeContext& aContext)
   : context_(aContext)
-  , queue_(kSlotsBeforeConfiguration)
+  , queue_(kSlotsBeforeConfiguration, MakeQueueOrder(aContext.settings.queue))
 {
 }
 
@@ -22,6 +22,7 @@
   upstream_ = &registry.Find<Upstream>(ServiceName::Upstream);
   releases_ = &registry.Find<Releases>(ServiceName::Releases);
   membership_ = &registry.Find<Membership>(ServiceName::Membership);
+  metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
   links_->AddHandler(*this);
   releases_->AddListener([this] { TakeSlotsFromConfiguration(); });
   Tick();
@@ -38,7 +39,7 @@
   Ticket ticket = nextTicket_++;
   TimePoint now = context_.loop.Now();
   TimePoint deadline = now + milliseconds(aCall.deadlineMs);
-  served_[ticket] = Served{ aCall, std::move(aReply), deadline, std::nullopt };
+  served_[ticket] = Served{ aCall, std::move(aReply), now, deadline, now, std::nullopt };
   std::optional<ErrorKind> obstacle = FindObstacle(aCall);
   if (obstacle.has_value()) {
     Refuse(ticket, *obstacle);
@@ -86,8 +87,11 @@
     Carry(queue_.On(CallFinished{ aTicket }, context_.loop.Now()));
     return;
   }
-  served.call.deadlineMs =
-    std::max<int64_t>(1, ToMilliseconds(served.deadline - context_.loop.Now()));
+  TimePoint now = context_.loop.Now();
+  served.startedAt = now;
+  served.call.deadlineMs = std::max<int64_t>(1, ToMilliseconds(served.deadline - now));
+  metrics_->Observe(
+    HistogramName::QueueTime, ClassLabel(served.call.trafficClass), now - served.arrivedAt);
   served.request = upstream_->Send(served.call, [this, aTicket](const UpstreamResult& aResult) {
     OnUpstreamResult(aTicket, aResult);
   });
@@ -95,6 +99,13 @@
 
 void AdmissionService::OnUpstreamResult(Ticket aTicket, const UpstreamResult& aResult)
 {
+  auto served = served_.find(aTicket);
+  if (served != served_.end()) {
+    MetricLabel label = ClassLabel(served->second.call.trafficClass);
+    metrics_->Count(CounterName::CallsServed, label);
+    metrics_->Observe(
+      HistogramName::UpstreamTime, label, context_.loop.Now() - served->second.startedAt);
+  }
   CallReply reply;
   reply.outcome = aResult.outcome;
   reply.status = aResult.status;
@@ -112,6 +123,7 @@
 
 void AdmissionService::Refuse(Ticket aTicket, ErrorKind aReason)
 {
+  metrics_->Count(CounterName::CallsShed, fmt::format("reason=\"{}\"", NameOf(aReason)));
   CallReply reply;
   reply.outcome = CallOutcome::NotRun;
   reply.error = aReason;
--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -31,7 +31,9 @@
   {
     OpenCall call;
     OnReply reply;
+    TimePoint arrivedAt;
     TimePoint deadline;
+    TimePoint startedAt;
     std::optional<Upstream::RequestId> request;
   };
   using RemoteCall = std::pair<LinkId, uint64_t>;
@@ -52,6 +54,7 @@
   Upstream* upstream_ = nullptr;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
+  Metrics* metrics_ = nullptr;
   Ticket nextTicket_ = 1;
   std::map<Ticket, Served> served_;
   std::map<RemoteCall, Ticket> remote_;
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -8,20 +8,6 @@
 constexpr Duration kCatchUpStep = milliseconds(20);
 constexpr int kMostCatchUpSteps = 25;
 
-Lane LaneFor(TrafficClass aClass)
-{
-  switch (aClass) {
-    case TrafficClass::Short:
-    case TrafficClass::Certificate:
-    case TrafficClass::Interactive:
-      return Lane::Short;
-    case TrafficClass::Bulk:
-    case TrafficClass::Background:
-      return Lane::Bulk;
-  }
-  return Lane::Short;
-}
-
 CallerAnswer Refusal(ErrorKind aKind, const std::string& aReason)
 {
   CallerAnswer answer;
@@ -31,11 +17,17 @@
   return answer;
 }
 
+bool IsIdempotent(const CallerRequest& aRequest, const PolicySpec& aPolicy)
+{
+  return aPolicy.idempotent || IsIdempotentMethod(aRequest.method);
+}
+
 } // namespace
 
 CallsService::CallsService(const NodeContext& aContext, uint64_t aSeed)
   : context_(aContext)
-  , choice_(MakeStrategy(aContext.settings.choice), aSeed)
+  , choice_(MakeStrategy(aContext.settings.choice), aSeed, aContext.loop.Now())
+  , hedging_(MakeHedgeStrategy(aContext.settings.hedge))
 {
 }
 
@@ -47,6 +39,7 @@
   membership_ = &registry.Find<Membership>(ServiceName::Membership);
   spreading_ = &registry.Find<Spreading>(ServiceName::Spreading);
   admission_ = &registry.Find<Admission>(ServiceName::Admission);
+  metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
   links_->AddHandler(*this);
   return absl::OkStatus();
 }
@@ -67,9 +60,11 @@
              nullptr,
              {},
              now,
+             now,
              Attempts(false, 1, now),
              {},
-             std::nullopt,
+             {},
+             {},
              {},
              {},
              {} };
@@ -81,10 +76,10 @@
   const PolicySpec& policy = *call.route.policy;
   Duration timeLimit = milliseconds(policy.timeoutMs);
   call.deadline = now + timeLimit;
-  bool isIdempotent = policy.idempotent || IsIdempotentMethod(call.request.method);
-  call.attempts = Attempts(isIdempotent, policy.attempts, call.deadline);
+  call.attempts = Attempts(IsIdempotent(call.request, policy), policy.attempts, call.deadline);
   call.limit = context_.loop.After(timeLimit, [this, id] { OnDeadline(id); });
   calls_.emplace(id, std::move(call));
+  PlanHedge(id);
   TryNext(id);
   return id;
 }
@@ -111,12 +106,19 @@
   return true;
 }
 
+const Member* CallsService::ChooseFor(const Call& aCall)
+{
+  const ServiceSpec& service = *aCall.route.service;
+  ChoiceQuery query{
+    service.name, aCall.route.policy->crossRegion, milliseconds(service.coldStartMs), aCall.tried
+  };
+  return choice_.Choose(membership_->Table(), membership_->Self(), query, context_.loop.Now());
+}
+
 void CallsService::TryNext(CallId aId)
 {
   Call& call = calls_.at(aId);
-  ChoiceQuery query{ call.route.service->name, call.route.policy->crossRegion, call.tried };
-  const Member* member =
-    choice_.Choose(membership_->Table(), membership_->Self(), query, context_.loop.Now());
+  const Member* member = ChooseFor(call);
   if (member != nullptr) {
     SendAttempt(aId, *member);
     return;
@@ -125,41 +127,50 @@
     Answer(aId, AnswerFromReply(call, call.lastReply));
     return;
   }
-  Answer(aId,
-         Refusal(ErrorKind::NoUpstream,
-                 fmt::format("service \"{}\" has no upstream within reach", query.service)));
+  Answer(
+    aId,
+    Refusal(ErrorKind::NoUpstream,
+            fmt::format("service \"{}\" has no upstream within reach", call.route.service->name)));
 }
 
 void CallsService::SendAttempt(CallId aId, const Member& aMember)
 {
   Call& call = calls_.at(aId);
-  Attempt attempt;
-  attempt.id = nextAttempt_++;
+  AttemptId id = nextAttempt_++;
+  metrics_->Count(CounterName::Attempts, ClassLabel(call.route.policy->trafficClass));
+  Attempt& attempt = call.open[id];
   attempt.member = aMember.id;
+  attempt.sentAt = context_.loop.Now();
   call.tried.insert(aMember.id);
-  byAttempt_[attempt.id] = aId;
+  byAttempt_[id] = aId;
   choice_.OnAttemptBegan(aMember.id);
-  OpenCall open = MakeOpenCall(call, attempt.id);
-  uint64_t id = attempt.id;
+  OpenCall open = MakeOpenCall(call, id);
   if (aMember.id == context_.settings.id) {
-    call.current = attempt;
-    Admission::Ticket ticket =
-      admission_->Serve(open, [this, id](const CallReply& aReply) { OnReply(id, aReply); });
-    auto found = calls_.find(aId);
-    if (found != calls_.end() && found->second.current.has_value() &&
-        found->second.current->id == id) {
-      found->second.current->ticket = ticket;
-    }
+    SendLocally(aId, id, open);
     return;
   }
-  attempt.link = links_->Open(EndpointFrom(context_.settings.region, aMember),
-                              LaneFor(call.route.policy->trafficClass));
-  call.current = attempt;
+  const Endpoint& endpoint = EndpointFrom(context_.settings.region, aMember);
+  attempt.link = links_->Open(endpoint, LaneFor(call.route.policy->trafficClass));
   links_->AwaitAnswer(*attempt.link);
   links_->Send(*attempt.link, open);
 }
 
-OpenCall CallsService::MakeOpenCall(const Call& aCall, uint64_t aAttempt) const
+void CallsService::SendLocally(CallId aId, AttemptId aAttempt, const OpenCall& aOpen)
+{
+  auto onReply = [this, aAttempt](const CallReply& aReply) { OnReply(aAttempt, aReply); };
+  Admission::Ticket ticket = admission_->Serve(aOpen, onReply);
+  // A refusal comes back within `Serve`, and may have ended the call.
+  auto call = calls_.find(aId);
+  if (call == calls_.end()) {
+    return;
+  }
+  auto attempt = call->second.open.find(aAttempt);
+  if (attempt != call->second.open.end()) {
+    attempt->second.ticket = ticket;
+  }
+}
+
+OpenCall CallsService::MakeOpenCall(const Call& aCall, AttemptId aAttempt) const
 {
   OpenCall open;
   open.id = aAttempt;
@@ -173,12 +184,38 @@
   return open;
 }
 
+void CallsService::PlanHedge(CallId aId)
+{
+  Call& call = calls_.at(aId);
+  const PolicySpec& policy = *call.route.policy;
+  std::optional<Duration> delay = hedging_.DelayFor(
+    call.route.service->name, policy.trafficClass, IsIdempotent(call.request, policy));
+  if (delay.has_value()) {
+    call.hedge = context_.loop.After(*delay, [this, aId] { Hedge(aId); });
+  }
+}
+
+void CallsService::Hedge(CallId aId)
+{
+  Call& call = calls_.at(aId);
+  // Only a first attempt that is still alone is hedged; a retry is a second chance already.
+  bool isFirst = call.open.size() == 1 && call.tried.size() == 1;
+  const Member* member = isFirst ? ChooseFor(call) : nullptr;
+  if (member != nullptr && hedging_.Spend()) {
+    metrics_->Count(CounterName::Hedges, ClassLabel(call.route.policy->trafficClass));
+    SendAttempt(aId, *member);
+  }
+}
+
 void CallsService::OnLinkMessage(LinkId aLink, const LinkMessage& aMessage)
 {
   std::visit(Overloaded{
                [&](const CallReply& aReply) {
-                 links_->AnswerCame(aLink);
-                 OnReply(aReply.id, aReply);
+                 // A late answer to a dropped attempt is not awaited any more.
+                 if (byAttempt_.count(aReply.id) > 0) {
+                   links_->AnswerCame(aLink);
+                   OnReply(aReply.id, aReply);
+                 }
                },
                [](const auto&) {},
              },
@@ -187,19 +224,21 @@
 
 void CallsService::OnLinkClosed(LinkId aLink, const std::vector<LinkMessage>& aUnsent)
 {
-  std::set<uint64_t> unsent;
+  std::set<AttemptId> unsent;
   for (const LinkMessage& message : aUnsent) {
     if (const auto* open = std::get_if<OpenCall>(&message)) {
       unsent.insert(open->id);
     }
   }
-  std::vector<uint64_t> lost;
-  for (const auto& [id, call] : calls_) {
-    if (call.current.has_value() && call.current->link == aLink) {
-      lost.push_back(call.current->id);
+  std::vector<AttemptId> lost;
+  for (const auto& [callId, call] : calls_) {
+    for (const auto& [id, attempt] : call.open) {
+      if (attempt.link == aLink) {
+        lost.push_back(id);
+      }
     }
   }
-  for (uint64_t attempt : lost) {
+  for (AttemptId attempt : lost) {
     CallReply reply;
     reply.id = attempt;
     // A frame that has left may have reached the upstream, whatever became of the link since.
@@ -210,7 +249,7 @@
   }
 }
 
-void CallsService::OnReply(uint64_t aAttempt, const CallReply& aReply)
+void CallsService::OnReply(AttemptId aAttempt, const CallReply& aReply)
 {
   auto found = byAttempt_.find(aAttempt);
   if (found == byAttempt_.end()) {
@@ -219,22 +258,35 @@
   CallId id = found->second;
   byAttempt_.erase(found);
   Call& call = calls_.at(id);
-  EndAttempt(call, aReply);
+  EndAttempt(call, aAttempt, aReply);
   NextStep next = call.attempts.OnEnded(aReply.outcome, budget_, context_.loop.Now());
+  if (aReply.outcome != CallOutcome::Ran && !call.open.empty()) {
+    // The other attempt of a hedged call may still answer.
+    return;
+  }
   if (next == NextStep::Answer) {
     Answer(id, AnswerFromReply(call, aReply));
-  } else if (aReply.error == ErrorKind::Withdrawn) {
+    return;
+  }
+  metrics_->Count(CounterName::Retries, ClassLabel(call.route.policy->trafficClass));
+  if (aReply.error == ErrorKind::Withdrawn) {
     RouteAnew(id, kMostCatchUpSteps);
   } else {
     TryNext(id);
   }
 }
 
-void CallsService::EndAttempt(Call& aCall, const CallReply& aReply)
+void CallsService::EndAttempt(Call& aCall, AttemptId aAttempt, const CallReply& aReply)
 {
-  bool hasFailed = aReply.outcome == CallOutcome::Unknown || aReply.error == ErrorKind::Unreachable;
-  choice_.OnAttemptEnded(aCall.current->member, hasFailed, aReply.queueLength, context_.loop.Now());
-  aCall.current.reset();
+  auto found = aCall.open.find(aAttempt);
+  TimePoint now = context_.loop.Now();
+  AttemptEvidence evidence;
+  evidence.hasFailed =
+    aReply.outcome == CallOutcome::Unknown || aReply.error == ErrorKind::Unreachable;
+  evidence.queueLength = aReply.queueLength;
+  evidence.taken = now - found->second.sentAt;
+  choice_.OnAttemptEnded(found->second.member, evidence, now);
+  aCall.open.erase(found);
   aCall.lastReply = aReply;
 }
 
@@ -246,8 +298,8 @@
   }
   Call& call = found->second;
   if (spreading_->IsBehind() && aChecksLeft > 0) {
-    call.wait = context_.loop.After(kCatchUpStep,
-                                    [this, aId, aChecksLeft] { RouteAnew(aId, aChecksLeft - 1); });
+    auto again = [this, aId, aChecksLeft] { RouteAnew(aId, aChecksLeft - 1); };
+    call.wait = context_.loop.After(kCatchUpStep, again);
     return;
   }
   CallerAnswer refusal;
@@ -261,8 +313,7 @@
 void CallsService::OnDeadline(CallId aId)
 {
   Call& call = calls_.at(aId);
-  bool mayRun = call.current.has_value() || call.attempts.Combined() == CallOutcome::Unknown;
-  DropAttempt(call);
+  bool mayRun = !call.open.empty() || call.attempts.Combined() == CallOutcome::Unknown;
   CallerAnswer answer;
   answer.outcome = mayRun ? CallOutcome::Unknown : CallOutcome::NotRun;
   answer.error = ErrorKind::DeadlineExceeded;
@@ -274,34 +325,44 @@
 {
   auto found = calls_.find(aId);
   if (found != calls_.end()) {
-    DropAttempt(found->second);
+    DropAttempts(found->second);
     calls_.erase(found);
   }
 }
 
-void CallsService::DropAttempt(Call& aCall)
+void CallsService::DropAttempts(Call& aCall)
 {
-  if (!aCall.current.has_value()) {
-    return;
-  }
-  Attempt attempt = *aCall.current;
-  aCall.current.reset();
-  byAttempt_.erase(attempt.id);
-  choice_.OnAttemptEnded(attempt.member, true, 0, context_.loop.Now());
-  if (attempt.link.has_value()) {
-    links_->AnswerCame(*attempt.link);
-    links_->Send(*attempt.link, CancelCall{ attempt.id });
-  } else {
-    admission_->Cancel(attempt.ticket);
+  TimePoint now = context_.loop.Now();
+  for (const auto& [id, attempt] : std::exchange(aCall.open, {})) {
+    byAttempt_.erase(id);
+    AttemptEvidence evidence;
+    evidence.taken = now - attempt.sentAt;
+    evidence.isCensored = true;
+    choice_.OnAttemptEnded(attempt.member, evidence, now);
+    if (attempt.link.has_value()) {
+      links_->AnswerCame(*attempt.link);
+      links_->Send(*attempt.link, CancelCall{ id });
+    } else {
+      admission_->Cancel(attempt.ticket);
+    }
   }
 }
 
 void CallsService::Answer(CallId aId, CallerAnswer aAnswer)
 {
   auto found = calls_.find(aId);
-  OnAnswer done = std::move(found->second.done);
+  Call call = std::move(found->second);
   calls_.erase(found);
-  done(aAnswer);
+  DropAttempts(call);
+  Duration taken = context_.loop.Now() - call.beganAt;
+  MetricLabel label = ClassLabel(call.route.policy->trafficClass);
+  metrics_->Observe(HistogramName::CallTime, label, taken);
+  metrics_->Count(CounterName::CallsAnswered,
+                  fmt::format("{},outcome=\"{}\"", label, NameOf(aAnswer.outcome)));
+  if (aAnswer.outcome == CallOutcome::Ran) {
+    hedging_.OnAnswered(call.route.service->name, taken);
+  }
+  call.done(aAnswer);
 }
 
 CallerAnswer CallsService::AnswerFromReply(const Call& aCall, const CallReply& aReply) const
@@ -322,4 +383,11 @@
   return answer;
 }
 
+Lane CallsService::LaneFor(TrafficClass aClass) const
+{
+  bool isLong = aClass == TrafficClass::Bulk || aClass == TrafficClass::Background;
+  bool hasLanes = context_.settings.lanes == LanesName::ByClass;
+  return isLong && hasLanes ? Lane::Bulk : Lane::Short;
+}
+
 } // namespace dandelion
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -1,4 +1,4 @@
-/// Carries calls from callers to upstreams, with retries where they are safe.
+/// Carries calls from callers to upstreams, with retries and hedges where they are safe.
 #ifndef DANDELION_DANDELIOND_CALLS_SERVICE_H
 #define DANDELION_DANDELIOND_CALLS_SERVICE_H
 
@@ -28,13 +28,14 @@
   void OnLinkClosed(LinkId aLink, const std::vector<LinkMessage>& aUnsent) override;
 
 private:
+  using AttemptId = uint64_t;
   /// One attempt on its way; `link` is empty for the upstream beside this node.
   struct Attempt
   {
-    uint64_t id = 0;
     std::string member;
     std::optional<LinkId> link;
     Admission::Ticket ticket = 0;
+    TimePoint sentAt;
   };
   struct Call
   {
@@ -43,39 +44,48 @@
     /// The snapshot that the call is routed by; a retry takes the newest one.
     std::shared_ptr<const RouteTable> routes;
     ResolvedRoute route;
+    TimePoint beganAt;
     TimePoint deadline;
     Attempts attempts;
     std::set<std::string> tried;
-    std::optional<Attempt> current;
+    std::map<AttemptId, Attempt> open;
     CallReply lastReply;
     Timer limit;
     Timer wait;
+    Timer hedge;
   };
 
   bool Resolve(Call& aCall, CallerAnswer& aRefusal) const;
+  const Member* ChooseFor(const Call& aCall);
   void TryNext(CallId aId);
   void SendAttempt(CallId aId, const Member& aMember);
-  OpenCall MakeOpenCall(const Call& aCall, uint64_t aAttempt) const;
-  void OnReply(uint64_t aAttempt, const CallReply& aReply);
-  void EndAttempt(Call& aCall, const CallReply& aReply);
+  void SendLocally(CallId aId, AttemptId aAttempt, const OpenCall& aOpen);
+  OpenCall MakeOpenCall(const Call& aCall, AttemptId aAttempt) const;
+  void PlanHedge(CallId aId);
+  void Hedge(CallId aId);
+  void OnReply(AttemptId aAttempt, const CallReply& aReply);
+  void EndAttempt(Call& aCall, AttemptId aAttempt, const CallReply& aReply);
   void RouteAnew(CallId aId, int aChecksLeft);
   void OnDeadline(CallId aId);
-  void DropAttempt(Call& aCall);
+  void DropAttempts(Call& aCall);
   void Answer(CallId aId, CallerAnswer aAnswer);
   CallerAnswer AnswerFromReply(const Call& aCall, const CallReply& aReply) const;
+  Lane LaneFor(TrafficClass aClass) const;
 
   const NodeContext& context_;
   UpstreamChoice choice_;
+  Hedging hedging_;
   RetryBudget budget_;
   Links* links_ = nullptr;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
   Spreading* spreading_ = nullptr;
   Admission* admission_ = nullptr;
+  Metrics* metrics_ = nullptr;
   CallId nextId_ = 1;
-  uint64_t nextAttempt_ = 1;
+  AttemptId nextAttempt_ = 1;
   std::map<CallId, Call> calls_;
-  std::map<uint64_t, CallId> byAttempt_;
+  std::map<AttemptId, CallId> byAttempt_;
 };
 
 } // namespace dandelion
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -32,6 +32,7 @@
   auto add = [&](ServiceName aName, std::unique_ptr<Service> aService) {
     registry_.Add(aName, std::move(aService));
   };
+  add(ServiceName::Metrics, std::make_unique<MetricsService>());
   add(ServiceName::Store, std::make_unique<EtcdStore>(loop_, settings_.store.servers, storeLimit));
   add(ServiceName::Links, std::make_unique<WebsocketLinks>(loop_, settings_.peers, hello));
   add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers));
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -2,6 +2,7 @@
 #ifndef DANDELION_DANDELIOND_NODE_SETTINGS_H
 #define DANDELION_DANDELIOND_NODE_SETTINGS_H
 
+#include "admission/Admission.h"
 #include "wire/Wire.h"
 
 #include <string>
@@ -9,6 +10,21 @@
 
 namespace dandelion {
 
+enum class LanesName
+{
+  One,
+  ByClass,
+};
+
+template<>
+struct EnumNames<LanesName>
+{
+  static constexpr EnumName<LanesName> kTable[] = {
+    { LanesName::One, "one" },
+    { LanesName::ByClass, "by-class" },
+  };
+};
+
 struct StoreSettings
 {
   std::vector<Endpoint> servers;
@@ -38,7 +54,12 @@
   /// First contacts for a start while the store is down.
   std::vector<Endpoint> seeds;
   LogLevel logLevel = LogLevel::Info;
-  ChoiceName choice = ChoiceName::TwoChoices;
+  /// How the upstream of a call is chosen, how calls wait beside it, whether late calls are sent
+  /// twice, and whether long and short calls have links of their own.
+  ChoiceName choice = ChoiceName::LeastExpectedTime;
+  QueueOrderName queue = QueueOrderName::ClassLanes;
+  HedgeName hedge = HedgeName::Late;
+  LanesName lanes = LanesName::ByClass;
   /// Longest time a planned stop waits for calls in progress.
   int64_t drainMs = 30000;
 };
@@ -67,6 +88,9 @@
   aVisitor.OptionalField("seeds", aSettings.seeds);
   aVisitor.OptionalField("log_level", aSettings.logLevel);
   aVisitor.OptionalField("choice", aSettings.choice);
+  aVisitor.OptionalField("queue", aSettings.queue);
+  aVisitor.OptionalField("hedge", aSettings.hedge);
+  aVisitor.OptionalField("lanes", aSettings.lanes);
   aVisitor.OptionalField("drain_ms", aSettings.drainMs, Between{ 0, 3600000 });
 }
 
--- a/src/dandeliond/OperatorService.cpp
+++ b/src/dandeliond/OperatorService.cpp
@@ -54,9 +54,10 @@
 
 Duration TimeLimitOf(const HttpRequest& aRequest)
 {
-  int64_t limit = kDefaultTimeLimitMs;
-  (void)absl::SimpleAtoi(FindHeader(aRequest.headers, kTimeLimitHeader), &limit);
-  return milliseconds(std::clamp<int64_t>(limit, 0, kMostTimeLimitMs));
+  int64_t limit = 0;
+  bool isGiven = absl::SimpleAtoi(FindHeader(aRequest.headers, kTimeLimitHeader), &limit);
+  return milliseconds(
+    isGiven ? std::clamp<int64_t>(limit, 0, kMostTimeLimitMs) : kDefaultTimeLimitMs);
 }
 
 } // namespace
@@ -76,6 +77,7 @@
   links_ = &registry.Find<Links>(ServiceName::Links);
   datagrams_ = &registry.Find<Datagrams>(ServiceName::Datagrams);
   store_ = &registry.Find<Store>(ServiceName::Store);
+  metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
   HttpLimits limits;
   // A note over the limit must be read to be refused by name, so the edge takes a little more.
   limits.mostBodyBytes = 4 * kMostNoteBytes;
@@ -207,6 +209,7 @@
   for (const auto& row : EnumNames<Lane>::kTable) {
     add("link_bytes_total", fmt::format("{{lane=\"{}\"}}", row.name), links_->BytesSent(row.value));
   }
+  text += metrics_->Render();
   aExchange->Reply(HttpResponse{ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, text });
 }
 
--- a/src/dandeliond/OperatorService.h
+++ b/src/dandeliond/OperatorService.h
@@ -33,6 +33,7 @@
   Links* links_ = nullptr;
   Datagrams* datagrams_ = nullptr;
   Store* store_ = nullptr;
+  Metrics* metrics_ = nullptr;
   HttpServer server_;
 };
 
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -22,6 +22,18 @@
   const NodeSettings& settings;
 };
 
+/// `ServiceName::Metrics`: what the node counts and times.
+class MetricsService
+  : public Service
+  , public Metrics
+{};
+
+/// The label of a traffic class.
+inline MetricLabel ClassLabel(TrafficClass aClass)
+{
+  return fmt::format("class=\"{}\"", NameOf(aClass));
+}
+
 /// `ServiceName::Releases`: the configuration in force on this node.
 class Releases
 {
--- a/src/kernel/Kernel.h
+++ b/src/kernel/Kernel.h
@@ -8,6 +8,7 @@
 #include "kernel/Hash.h"
 #include "kernel/Log.h"
 #include "kernel/Loop.h"
+#include "kernel/Metrics.h"
 #include "kernel/Registry.h"
 #include "kernel/Time.h"
 
--- a/src/kernel/Loop.cpp
+++ b/src/kernel/Loop.cpp
@@ -35,10 +35,20 @@
                   static_cast<suseconds_t>(count % kMicrosecondsPerSecond) };
 }
 
+event_base* MakeBase()
+{
+  // Without it the poller rounds each wait up to whole milliseconds.
+  event_config* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  return base;
+}
+
 } // namespace
 
 Loop::Loop()
-  : base_(event_base_new())
+  : base_(MakeBase())
 {
   // A peer that closes while we write must surface as an error, not end the process.
   std::signal(SIGPIPE, SIG_IGN);
--- /dev/null
+++ b/src/kernel/Metrics.h
@@ -0,0 +1,93 @@
+/// Counters and histograms by name and label, over Boost.Accumulators.
+#ifndef DANDELION_KERNEL_METRICS_H
+#define DANDELION_KERNEL_METRICS_H
+
+#include "kernel/EnumNames.h"
+#include "kernel/Time.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace dandelion {
+
+enum class CounterName
+{
+  CallsAnswered,
+  Attempts,
+  Retries,
+  Hedges,
+  CallsServed,
+  CallsShed,
+  NotesAccepted,
+  NotesRefused,
+  NotesUndecided,
+  VersionsApplied,
+};
+
+template<>
+struct EnumNames<CounterName>
+{
+  static constexpr EnumName<CounterName> kTable[] = {
+    { CounterName::CallsAnswered, "calls_answered_total" },
+    { CounterName::Attempts, "attempts_total" },
+    { CounterName::Retries, "retries_total" },
+    { CounterName::Hedges, "hedges_total" },
+    { CounterName::CallsServed, "calls_served_total" },
+    { CounterName::CallsShed, "calls_shed_total" },
+    { CounterName::NotesAccepted, "notes_accepted_total" },
+    { CounterName::NotesRefused, "notes_refused_total" },
+    { CounterName::NotesUndecided, "notes_undecided_total" },
+    { CounterName::VersionsApplied, "versions_applied_total" },
+  };
+};
+
+enum class HistogramName
+{
+  CallTime,
+  QueueTime,
+  UpstreamTime,
+};
+
+template<>
+struct EnumNames<HistogramName>
+{
+  static constexpr EnumName<HistogramName> kTable[] = {
+    { HistogramName::CallTime, "call_seconds" },
+    { HistogramName::QueueTime, "queue_seconds" },
+    { HistogramName::UpstreamTime, "upstream_seconds" },
+  };
+};
+
+/// A measure's label, as `class="short"`; empty for none.
+using MetricLabel = std::string;
+
+/// Labels of one name beyond this number are counted together as `other="true"`, so that no
+/// caller can make the metrics grow without bound.
+constexpr size_t kMostLabels = 64;
+
+class Metrics
+{
+public:
+  Metrics();
+  virtual ~Metrics();
+
+  virtual void Count(CounterName aName, const MetricLabel& aLabel = "", uint64_t aAmount = 1);
+  virtual void Observe(HistogramName aName, const MetricLabel& aLabel, Duration aValue);
+
+  /// All measures in the usual text exposition format.
+  std::string Render() const;
+
+private:
+  class Histogram;
+  template<class Value>
+  using Labelled = std::map<MetricLabel, Value>;
+
+  std::map<CounterName, Labelled<uint64_t>> counters_;
+  std::map<HistogramName, Labelled<std::unique_ptr<Histogram>>> histograms_;
+};
+
+} // namespace dandelion
+
+#endif
--- a/src/routing/Routing.h
+++ b/src/routing/Routing.h
@@ -5,6 +5,7 @@
 
 #include "routing/Attempts.h"
 #include "routing/CallOutcome.h"
+#include "routing/Hedging.h"
 #include "routing/RouteTable.h"
 #include "routing/UpstreamChoice.h"
 
--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -1,6 +1,7 @@
 #include "routing/UpstreamChoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandelion {
 
@@ -8,6 +9,22 @@
 
 constexpr Duration kFirstAside = milliseconds(250);
 constexpr int kMostDoublings = 5;
+/// Share of a slower sample that the smoothed latency takes over, and of a faster one.
+constexpr double kRise = 0.5;
+constexpr double kFall = 0.1;
+/// Evidence of slowness halves in this time without a sample, so that a slow upstream is probed.
+constexpr Duration kEvidenceHalfLife = seconds(2);
+/// Time of an answer where nothing is known.
+constexpr Duration kUnknownLatency = milliseconds(1);
+/// Upstreams that are there when the node starts are not new.
+constexpr Duration kStartGrace = seconds(5);
+constexpr double kMostColdFactor = 20;
+
+double Smoothed(double aOld, double aSample)
+{
+  double share = aSample > aOld ? kRise : kFall;
+  return aOld + share * (aSample - aOld);
+}
 
 } // namespace
 
@@ -18,13 +35,16 @@
       return RandomChoice{};
     case ChoiceName::TwoChoices:
       return TwoChoices{};
+    case ChoiceName::LeastExpectedTime:
+      return LeastExpectedTime{};
   }
-  return TwoChoices{};
+  return LeastExpectedTime{};
 }
 
-UpstreamChoice::UpstreamChoice(ChoiceStrategy aStrategy, uint64_t aSeed)
+UpstreamChoice::UpstreamChoice(ChoiceStrategy aStrategy, uint64_t aSeed, TimePoint aNow)
   : strategy_(aStrategy)
   , random_(aSeed)
+  , createdAt_(aNow)
 {
 }
 
@@ -41,7 +61,7 @@
   }
   Candidates near = Near(all, aSelf, aQuery.mayCrossRegion);
   PreferHealthy(near, aNow);
-  return near.empty() ? nullptr : Pick(near);
+  return near.empty() ? nullptr : Pick(near, aQuery.coldStart, aNow);
 }
 
 void UpstreamChoice::OnAttemptBegan(const std::string& aMember)
@@ -50,14 +70,23 @@
 }
 
 void UpstreamChoice::OnAttemptEnded(const std::string& aMember,
-                                    bool aHasFailed,
-                                    int64_t aQueueLength,
+                                    const AttemptEvidence& aEvidence,
                                     TimePoint aNow)
 {
   Seen& seen = seen_[aMember];
   seen.outstanding = std::max<int64_t>(0, seen.outstanding - 1);
-  seen.queueLength = aQueueLength;
-  if (!aHasFailed) {
+  bool isInformative = !aEvidence.isCensored || aEvidence.taken > seen.latency;
+  if (isInformative) {
+    double smoothed = Smoothed(static_cast<double>(seen.latency.count()),
+                               static_cast<double>(aEvidence.taken.count()));
+    seen.latency = Duration(static_cast<int64_t>(smoothed));
+    seen.latencyAt = aNow;
+  }
+  if (aEvidence.isCensored) {
+    return;
+  }
+  seen.queueLength = aEvidence.queueLength;
+  if (!aEvidence.hasFailed) {
     seen.failuresInRow = 0;
     return;
   }
@@ -108,18 +137,56 @@
   }
 }
 
-const Member* UpstreamChoice::Pick(const Candidates& aCandidates)
+const Member* UpstreamChoice::Pick(const Candidates& aCandidates,
+                                   Duration aColdStart,
+                                   TimePoint aNow)
+{
+  size_t firstIndex = random_() % aCandidates.size();
+  // Two different ones where there are two: else a slow one is compared with itself.
+  size_t step = aCandidates.size() > 1 ? 1 + random_() % (aCandidates.size() - 1) : 0;
+  const Member* first = aCandidates[firstIndex];
+  const Member* second = aCandidates[(firstIndex + step) % aCandidates.size()];
+  return std::visit(
+    Overloaded{
+      [&](const RandomChoice&) { return first; },
+      [&](const TwoChoices&) { return Load(*second) < Load(*first) ? second : first; },
+      [&](const LeastExpectedTime&) {
+        double firstTime = ExpectedTime(*first, aNow) * ColdFactor(*first, aColdStart, aNow);
+        double secondTime = ExpectedTime(*second, aNow) * ColdFactor(*second, aColdStart, aNow);
+        return secondTime < firstTime ? second : first;
+      },
+    },
+    strategy_);
+}
+
+double UpstreamChoice::ExpectedTime(const Member& aMember, TimePoint aNow) const
+{
+  double unknown = static_cast<double>(kUnknownLatency.count());
+  auto found = seen_.find(aMember.id);
+  if (found == seen_.end()) {
+    return unknown;
+  }
+  const Seen& seen = found->second;
+  double age = std::chrono::duration<double>(aNow - seen.latencyAt) /
+               std::chrono::duration<double>(kEvidenceHalfLife);
+  double latency = static_cast<double>(seen.latency.count()) * std::exp2(-age);
+  return std::max(latency, unknown) * static_cast<double>(1 + Load(aMember));
+}
+
+double UpstreamChoice::ColdFactor(const Member& aMember, Duration aColdStart, TimePoint aNow)
 {
-  auto any = [&] { return aCandidates[random_() % aCandidates.size()]; };
-  return std::visit(Overloaded{
-                      [&](const RandomChoice&) { return any(); },
-                      [&](const TwoChoices&) {
-                        const Member* first = any();
-                        const Member* second = any();
-                        return Load(*second) < Load(*first) ? second : first;
-                      },
-                    },
-                    strategy_);
+  Seen& seen = seen_[aMember.id];
+  if (seen.incarnation != aMember.incarnation) {
+    seen.incarnation = aMember.incarnation;
+    seen.firstSeen = aNow;
+  }
+  bool isOld = seen.firstSeen - createdAt_ < kStartGrace || aNow - seen.firstSeen >= aColdStart;
+  if (isOld) {
+    return 1;
+  }
+  double elapsed = std::chrono::duration<double>(aNow - seen.firstSeen).count();
+  double whole = std::chrono::duration<double>(aColdStart).count();
+  return std::min(kMostColdFactor, whole / std::max(elapsed, whole / kMostColdFactor));
 }
 
 int64_t UpstreamChoice::Load(const Member& aMember) const
--- a/src/routing/UpstreamChoice.h
+++ b/src/routing/UpstreamChoice.h
@@ -20,12 +20,17 @@
 /// The less loaded of two random upstreams of the nearest zone.
 struct TwoChoices
 {};
-using ChoiceStrategy = std::variant<RandomChoice, TwoChoices>;
+/// The one of two random upstreams of the nearest zone that should answer first, by what is waiting
+/// there and how long its answers have taken.
+struct LeastExpectedTime
+{};
+using ChoiceStrategy = std::variant<RandomChoice, TwoChoices, LeastExpectedTime>;
 
 enum class ChoiceName
 {
   Random,
   TwoChoices,
+  LeastExpectedTime,
 };
 
 template<>
@@ -34,6 +39,7 @@
   static constexpr EnumName<ChoiceName> kTable[] = {
     { ChoiceName::Random, "random" },
     { ChoiceName::TwoChoices, "two-choices" },
+    { ChoiceName::LeastExpectedTime, "least-expected-time" },
   };
 };
 
@@ -43,15 +49,29 @@
 {
   std::string service;
   bool mayCrossRegion = false;
+  /// Time over which a new upstream is given its full share.
+  Duration coldStart = Duration::zero();
   /// Upstreams that have refused or lost this call already.
   const std::set<std::string>& tried;
 };
 
+/// What an attempt has shown of its upstream.
+struct AttemptEvidence
+{
+  bool hasFailed = false;
+  /// Calls that waited or ran beside the upstream when it answered.
+  int64_t queueLength = 0;
+  /// Time from sending to the answer, or to giving up.
+  Duration taken = Duration::zero();
+  /// The attempt was given up before an answer: its time is only a lower bound.
+  bool isCensored = false;
+};
+
 /// What this node has seen of the upstreams it calls.
 class UpstreamChoice
 {
 public:
-  UpstreamChoice(ChoiceStrategy aStrategy, uint64_t aSeed);
+  UpstreamChoice(ChoiceStrategy aStrategy, uint64_t aSeed, TimePoint aNow);
 
   /// The member whose upstream gets the attempt, or null where none is left.
   const Member* Choose(const MemberTable& aTable,
@@ -60,11 +80,8 @@
                        TimePoint aNow);
 
   void OnAttemptBegan(const std::string& aMember);
-  /// `aQueueLength` is what the reply carried. A failure puts the upstream aside for a while.
-  void OnAttemptEnded(const std::string& aMember,
-                      bool aHasFailed,
-                      int64_t aQueueLength,
-                      TimePoint aNow);
+  /// Takes the evidence of an attempt. A failure puts the upstream aside for a while.
+  void OnAttemptEnded(const std::string& aMember, const AttemptEvidence& aEvidence, TimePoint aNow);
 
   int64_t Outstanding(const std::string& aMember) const;
 
@@ -75,16 +92,24 @@
     int64_t queueLength = 0;
     int failuresInRow = 0;
     TimePoint asideUntil;
+    /// Smoothed time of answers, quick to rise and slow to fall.
+    Duration latency = Duration::zero();
+    TimePoint latencyAt;
+    uint64_t incarnation = 0;
+    TimePoint firstSeen;
   };
   using Candidates = std::vector<const Member*>;
 
   Candidates Near(const Candidates& aAll, const Member& aSelf, bool aMayCross) const;
   void PreferHealthy(Candidates& aCandidates, TimePoint aNow) const;
-  const Member* Pick(const Candidates& aCandidates);
+  const Member* Pick(const Candidates& aCandidates, Duration aColdStart, TimePoint aNow);
   int64_t Load(const Member& aMember) const;
+  double ExpectedTime(const Member& aMember, TimePoint aNow) const;
+  double ColdFactor(const Member& aMember, Duration aColdStart, TimePoint aNow);
 
   ChoiceStrategy strategy_;
   std::mt19937_64 random_;
+  TimePoint createdAt_;
   std::map<std::string, Seen> seen_;
 };
 
--- a/src/spread/Overlay.cpp
+++ b/src/spread/Overlay.cpp
@@ -46,8 +46,7 @@
     std::vector<const Member*> ranked = aTable.RankedInZone(zone);
     bool isOfRegion = !ranked.empty() && ranked.front()->region == aSelf.region;
     // The region's relay need not be the root of its own zone's tree.
-    if (isOfRegion && ranked.front()->id != aSelf.id &&
-        !Contains(aTargets, ranked.front()->id)) {
+    if (isOfRegion && ranked.front()->id != aSelf.id && !Contains(aTargets, ranked.front()->id)) {
       aTargets.push_back(ranked.front());
     }
   }
--- /dev/null
+++ b/src/wire/Fragments.h
@@ -0,0 +1,91 @@
+/// Cuts large messages on a link into fragments, so that they take turns and never fill the way.
+///
+/// Small messages pass at once. Large ones wait here; their fragments go out in turn, as far as the
+/// receiver's credit reaches. A message counts as unsent until its last fragment has been taken.
+#ifndef DANDELION_WIRE_FRAGMENTS_H
+#define DANDELION_WIRE_FRAGMENTS_H
+
+#include "wire/Messages.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace dandelion {
+
+/// Messages up to this size are not cut.
+constexpr size_t kFragmentBytes = 8 * 1024;
+/// Fragment bytes on their way in one direction of one link.
+constexpr size_t kFragmentWindow = 48 * 1024;
+/// The largest message that a receiver puts together.
+constexpr size_t kLargestMessage = 24 * 1024 * 1024;
+
+struct Fragment
+{
+  uint64_t message = 0;
+  bool isLast = false;
+  Bytes bytes;
+};
+
+/// The receiver has taken so many fragment bytes.
+struct FragmentCredit
+{
+  uint64_t bytes = 0;
+};
+
+/// What one websocket message holds.
+using LinkFrame = std::variant<LinkEnvelope, Fragment, FragmentCredit>;
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, Fragment& aFragment)
+{
+  aVisitor.Field("message", aFragment.message);
+  aVisitor.Field("is_last", aFragment.isLast);
+  aVisitor.Field("bytes", aFragment.bytes);
+}
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, FragmentCredit& aCredit)
+{
+  aVisitor.Field("bytes", aCredit.bytes);
+}
+
+class FragmentSender
+{
+public:
+  /// Takes a message whose encoding is too large for one frame.
+  void Add(const LinkMessage& aMessage, std::string aBytes);
+  void OnCredit(uint64_t aBytes);
+  /// The next fragment, where the window allows one.
+  std::optional<Fragment> Next();
+  /// Messages of which the last fragment has not been taken.
+  std::vector<LinkMessage> TakeUnsent();
+
+private:
+  struct Outgoing
+  {
+    uint64_t id;
+    LinkMessage message;
+    std::string bytes;
+    size_t sent = 0;
+  };
+  uint64_t nextId_ = 1;
+  size_t onTheWay_ = 0;
+  std::deque<Outgoing> queue_;
+};
+
+class FragmentReceiver
+{
+public:
+  /// Takes a fragment; gives the whole bytes with the last one. An error where the peer sends more
+  /// than the largest message.
+  absl::StatusOr<std::optional<std::string>> Take(const Fragment& aFragment);
+
+private:
+  std::map<uint64_t, std::string> partial_;
+  size_t held_ = 0;
+};
+
+} // namespace dandelion
+
+#endif
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -1,5 +1,6 @@
 #include "wire/WebsocketLinks.h"
 
+#include "wire/Fragments.h"
 #include "wire/WebsocketSession.h"
 
 #include <arpa/inet.h>
@@ -97,7 +98,7 @@
       waiting_.push_back(aMessage);
       return;
     }
-    session_->Send(Encode(LinkEnvelope{ owner_.version_, aMessage }));
+    SendNow(aMessage);
   }
 
   /// Whether the link must be closed now.
@@ -116,7 +117,13 @@
   }
 
   void CountAwaited(int aChange) { awaited_ = std::max(0, awaited_ + aChange); }
-  std::vector<LinkMessage> TakeUnsent() { return std::move(waiting_); }
+  std::vector<LinkMessage> TakeUnsent()
+  {
+    std::vector<LinkMessage> unsent = fragments_.TakeUnsent();
+    unsent.insert(unsent.end(), waiting_.begin(), waiting_.end());
+    waiting_.clear();
+    return unsent;
+  }
   void SetPeer(const Endpoint& aPeer) { peer_ = aPeer; }
   const std::optional<Endpoint>& Peer() const { return peer_; }
   Lane LaneOf() const { return lane_; }
@@ -146,7 +153,7 @@
       bufferevent_write(socket_, aBytes.data(), aBytes.size());
     };
     callbacks.onOpen = [this] { OnOpen(); };
-    callbacks.onMessage = [this](const std::string& aBytes) { owner_.Receive(id_, aBytes); };
+    callbacks.onMessage = [this](const std::string& aBytes) { OnFrame(aBytes); };
     callbacks.onEnd = [this] { owner_.Close(id_); };
     return callbacks;
   }
@@ -155,7 +162,7 @@
   {
     isOpen_ = true;
     if (isOutgoing_) {
-      session_->Send(Encode(LinkEnvelope{ owner_.version_, owner_.self_ }));
+      SendNow(owner_.self_);
     }
     SendWaiting();
   }
@@ -165,8 +172,64 @@
     std::vector<LinkMessage> waiting = std::move(waiting_);
     waiting_.clear();
     for (const LinkMessage& message : waiting) {
-      session_->Send(Encode(LinkEnvelope{ owner_.version_, message }));
+      SendNow(message);
+    }
+  }
+
+  void SendNow(const LinkMessage& aMessage)
+  {
+    LinkEnvelope envelope{ owner_.version_, aMessage };
+    std::string bytes = Encode(LinkFrame(envelope));
+    if (bytes.size() <= kFragmentBytes) {
+      session_->Send(bytes);
+      return;
     }
+    fragments_.Add(aMessage, Encode(envelope));
+    SendFragments();
+  }
+
+  void SendFragments()
+  {
+    for (auto next = fragments_.Next(); next.has_value(); next = fragments_.Next()) {
+      session_->Send(Encode(LinkFrame(*std::move(next))));
+    }
+  }
+
+  void OnFrame(const std::string& aBytes)
+  {
+    auto frame = Decode<LinkFrame>(aBytes);
+    if (!frame.ok()) {
+      owner_.CloseBroken(id_, frame.status());
+      return;
+    }
+    std::visit(Overloaded{
+                 [&](const LinkEnvelope& aEnvelope) { owner_.Receive(id_, aEnvelope); },
+                 [&](const Fragment& aFragment) { OnFragment(aFragment); },
+                 [&](const FragmentCredit& aCredit) {
+                   fragments_.OnCredit(aCredit.bytes);
+                   SendFragments();
+                 },
+               },
+               *frame);
+  }
+
+  void OnFragment(const Fragment& aFragment)
+  {
+    session_->Send(Encode(LinkFrame(FragmentCredit{ aFragment.bytes.data.size() })));
+    auto whole = received_.Take(aFragment);
+    if (!whole.ok()) {
+      owner_.CloseBroken(id_, whole.status());
+      return;
+    }
+    if (!whole->has_value()) {
+      return;
+    }
+    auto envelope = Decode<LinkEnvelope>(**whole);
+    if (!envelope.ok()) {
+      owner_.CloseBroken(id_, envelope.status());
+      return;
+    }
+    owner_.Receive(id_, *envelope);
   }
 
   void Ping(TimePoint aNow)
@@ -217,6 +280,8 @@
   bool isVerifying_ = false;
   int awaited_ = 0;
   std::vector<LinkMessage> waiting_;
+  FragmentSender fragments_;
+  FragmentReceiver received_;
 };
 
 WebsocketLinks::WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf)
@@ -319,26 +384,26 @@
   accepted.AcceptOn(aSocket);
 }
 
-void WebsocketLinks::Receive(LinkId aId, const std::string& aBytes)
+void WebsocketLinks::CloseBroken(LinkId aId, const absl::Status& aWhy)
+{
+  Log(LogPart::Links, LogLevel::Warning, "A link is closed: {}.", Reason(aWhy));
+  Close(aId);
+}
+
+void WebsocketLinks::Receive(LinkId aId, const LinkEnvelope& aEnvelope)
 {
-  auto envelope = Decode<LinkEnvelope>(aBytes);
   Link* link = Find(aId);
   if (link == nullptr) {
     return;
   }
-  if (!envelope.ok()) {
-    Log(LogPart::Links, LogLevel::Warning, "A link is closed: {}.", Reason(envelope.status()));
-    Close(aId);
-    return;
-  }
-  if (const auto* hello = std::get_if<Hello>(&envelope->message)) {
+  if (const auto* hello = std::get_if<Hello>(&aEnvelope.message)) {
     link->SetPeer(hello->endpoint);
   }
   if (link->Peer().has_value() && onVersionSeen_) {
-    onVersionSeen_(*link->Peer(), envelope->version);
+    onVersionSeen_(*link->Peer(), aEnvelope.version);
   }
   for (LinkHandler* handler : handlers_) {
-    handler->OnLinkMessage(aId, envelope->message);
+    handler->OnLinkMessage(aId, aEnvelope.message);
   }
 }
 
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -43,7 +43,8 @@
   using Target = std::pair<Endpoint, Lane>;
 
   void Accept(int aSocket);
-  void Receive(LinkId aId, const std::string& aBytes);
+  void Receive(LinkId aId, const LinkEnvelope& aEnvelope);
+  void CloseBroken(LinkId aId, const absl::Status& aWhy);
   void Close(LinkId aId);
   void Tick();
   Link* Find(LinkId aId) const;
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -4,6 +4,7 @@
 
 #include "wire/Datagrams.h"
 #include "wire/EtcdStore.h"
+#include "wire/Fragments.h"
 #include "wire/Http.h"
 #include "wire/HttpUpstream.h"
 #include "wire/Links.h"
--- /dev/null
+++ b/test/performance/Calls.cpp
@@ -0,0 +1,358 @@
+/// Benchmark of calls: time added, the crest, short work behind long, a slow upstream; each beside
+/// the plain way (random choice, one queue, no hedging, one link) in the same run.
+#include "LoadGenerator.h"
+#include "support/Cluster.h"
+
+#include <cstdlib>
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+constexpr char kPlainWay[] =
+  R"({"choice": "random", "queue": "one-fifo", "hedge": "none", "lanes": "one"})";
+constexpr uint64_t kSeed = 11;
+
+struct Way
+{
+  const char* name;
+  std::string settings;
+};
+
+const Way kWays[] = { { "plain", kPlainWay }, { "ours ", "{}" } };
+
+Json PolicyOf(const char* aName, const char* aClass, int aTimeoutMs)
+{
+  return Json{
+    { "name", aName }, { "class", aClass }, { "timeout_ms", aTimeoutMs }, { "cross_region", true }
+  };
+}
+
+Json RouteOf(const char* aName, const char* aService, const char* aPolicy)
+{
+  return Json{ { "name", aName },
+               { "path_prefix", fmt::format("/{}", aName) },
+               { "service", aService },
+               { "policy", aPolicy } };
+}
+
+/// One service with a route for each class.
+Json NoteWithClasses(int64_t aSlots, int aTimeoutMs)
+{
+  Json policies = Json::array();
+  Json routes = Json::array();
+  for (const char* name : { "short", "certificate", "interactive", "bulk", "background" }) {
+    policies.push_back(PolicyOf(name, name, aTimeoutMs));
+    routes.push_back(RouteOf(name, "s0", name));
+  }
+  Json service = { { "name", "s0" }, { "slots", aSlots } };
+  return Json{
+    { "id", "classes" },
+    { "add",
+      { { "services", Json::array({ service }) }, { "routes", routes }, { "policies", policies } } }
+  };
+}
+
+LoadPlan PlanOf(const std::string& aName,
+                std::vector<Endpoint> aFronts,
+                double aRate,
+                Duration aEnd)
+{
+  LoadPlan plan;
+  plan.name = aName;
+  plan.path = "/" + aName + "/x";
+  plan.fronts = std::move(aFronts);
+  plan.callsPerSecond = aRate;
+  plan.end = aEnd;
+  return plan;
+}
+
+std::vector<Endpoint> AllFronts(const Cluster& aCluster)
+{
+  std::vector<Endpoint> fronts;
+  for (int i = 0; i < aCluster.Size(); ++i) {
+    fronts.push_back(aCluster.FrontOf(i));
+  }
+  return fronts;
+}
+
+bool StartWith(Cluster& aCluster, const Json& aNote)
+{
+  aCluster.Start();
+  aCluster.Submit(0, aNote);
+  return aCluster.WaitInForce(0, aNote["id"].get<std::string>());
+}
+
+void AddedTime()
+{
+  fmt::print("time added to a call, between two nodes of a zone, upstream's work 1 ms\n");
+  ClusterShape shape{ 2, 1, 1 };
+  shape.upstreamSlots = 64;
+  Cluster cluster(shape);
+  // Nodes 0 and 1 are in different regions, so that each call to the other crosses two processes.
+  StartWith(cluster, NoteWithClasses(64, 10000));
+  for (double rate : { 150.0, 450.0, 900.0 }) {
+    Loop loop;
+    LoadGenerator direct(loop, kSeed);
+    direct.Add(PlanOf("short", { cluster.UpstreamOf(0) }, rate, seconds(8)));
+    direct.Run();
+    LoadGenerator through(loop, kSeed);
+    through.Add(PlanOf("short", { cluster.FrontOf(0) }, rate, seconds(8)));
+    through.Run();
+    const LoadResult& a = direct.ResultOf("short");
+    const LoadResult& b = through.ResultOf("short");
+    fmt::print("  {:.0f} calls/s: direct ms p50 {:.2f} p99 {:.2f}; through one node p50 {:.2f} p99 "
+               "{:.2f}; added p50 {:.2f} p99 {:.2f}; not good {}\n",
+               rate,
+               a.Percentile(0.5),
+               a.Percentile(0.99),
+               b.Percentile(0.5),
+               b.Percentile(0.99),
+               b.Percentile(0.5) - a.Percentile(0.5),
+               b.Percentile(0.99) - a.Percentile(0.99),
+               b.sent - b.good);
+  }
+}
+
+void AddedTimeBetweenNodes()
+{
+  ClusterShape shape{ 4, 1, 2 };
+  shape.upstreamSlots = 64;
+  Cluster cluster(shape);
+  // Nodes 0 and 2 are neighbours in one zone; service s0 is beside node 0 only.
+  StartWith(cluster, NoteWithClasses(64, 10000));
+  for (double rate : { 150.0, 450.0 }) {
+    Loop loop;
+    LoadGenerator direct(loop, kSeed);
+    direct.Add(PlanOf("short", { cluster.UpstreamOf(0) }, rate, seconds(8)));
+    direct.Run();
+    LoadGenerator through(loop, kSeed);
+    through.Add(PlanOf("short", { cluster.FrontOf(2) }, rate, seconds(8)));
+    through.Run();
+    const LoadResult& a = direct.ResultOf("short");
+    const LoadResult& b = through.ResultOf("short");
+    fmt::print("  {:.0f} calls/s: through two nodes ms p50 {:.2f} p99 {:.2f}; added p50 {:.2f} p99 "
+               "{:.2f}; not good {}\n",
+               rate,
+               b.Percentile(0.5),
+               b.Percentile(0.99),
+               b.Percentile(0.5) - a.Percentile(0.5),
+               b.Percentile(0.99) - a.Percentile(0.99),
+               b.sent - b.good);
+  }
+}
+
+void Crest()
+{
+  constexpr int kUpstreams = 4;
+  constexpr int64_t kSlots = 6;
+  constexpr int kWorkMs = 50;
+  constexpr double kCapacity = kUpstreams * kSlots * 1000.0 / kWorkMs;
+  constexpr double kCrestSeconds = 6;
+  fmt::print(
+    "crest: capacity {:.0f} calls/s, half of it before, then two and five times for {:.0f} s, "
+    "deadline 500 ms\n",
+    kCapacity,
+    kCrestSeconds);
+  for (const Way& way : kWays) {
+    ClusterShape shape{ kUpstreams, 1, 1 };
+    shape.upstreamSlots = kSlots;
+    shape.workMs = kWorkMs;
+    shape.moreSettings = way.settings;
+    Cluster cluster(shape);
+    StartWith(cluster, NoteWithClasses(kSlots, 500));
+    for (double factor : { 2.0, 5.0 }) {
+      Loop loop;
+      LoadGenerator load(loop, kSeed);
+      std::string line;
+      auto add =
+        [&](const char* aName, const char* aClass, double aRate, double aBegin, double aEnd) {
+          LoadPlan plan = PlanOf(aClass, AllFronts(cluster), aRate, Duration::zero());
+          plan.name = aName;
+          plan.begin = milliseconds(static_cast<int64_t>(aBegin * 1000));
+          plan.end = milliseconds(static_cast<int64_t>(aEnd * 1000));
+          plan.deadline = milliseconds(500);
+          load.Add(plan);
+        };
+      double crestEnd = 2 + kCrestSeconds;
+      add("before", "interactive", kCapacity / 2, 0, 2);
+      add("short", "short", kCapacity * factor / 3, 2, crestEnd);
+      add("interactive", "interactive", kCapacity * factor / 3, 2, crestEnd);
+      add("background", "background", kCapacity * factor / 3, 2, crestEnd);
+      add("after", "interactive", kCapacity / 2, crestEnd + 1, crestEnd + 3);
+      load.Run();
+      double good = 0;
+      for (const char* name : { "short", "interactive", "background" }) {
+        const LoadResult& result = load.ResultOf(name);
+        good += static_cast<double>(result.good);
+        line += fmt::format("; {} good {:.0f}/s p99 {:.0f} ms",
+                            name,
+                            static_cast<double>(result.good) / kCrestSeconds,
+                            result.Percentile(0.99));
+      }
+      const LoadResult& after = load.ResultOf("after");
+      fmt::print("  {} x{:.0f}: good {:.0f}% of capacity{}; after it good {:.1f}%\n",
+                 way.name,
+                 factor,
+                 100 * good / kCrestSeconds / kCapacity,
+                 line,
+                 100.0 * static_cast<double>(after.good) / static_cast<double>(after.sent));
+    }
+  }
+}
+
+void ShortBehindLong()
+{
+  fmt::print("short work behind long, over the paid link (20 ms, 30 Mbit/s): lookups 40/s from the "
+             "region without upstreams, image pulls of 1 MB as fast as they go\n");
+  for (const Way& way : kWays) {
+    ClusterShape shape{ 4, 1, 2 };
+    shape.hasPaidLink = true;
+    shape.workMs = 2;
+    shape.upstreamSlots = 18;
+    shape.moreSettings = way.settings;
+    Cluster cluster(shape);
+    // s0 is beside nodes 0 and 1; node 1 is taken out so that the west must call the east.
+    StartWith(cluster, NoteWithClasses(18, 10000));
+    cluster.Terminate(1);
+    cluster.WaitForExit(1);
+    auto run = [&](bool aWithBulk) {
+      Loop loop;
+      LoadGenerator load(loop, kSeed);
+      load.Add(PlanOf("short", { cluster.FrontOf(3) }, 40, seconds(10)));
+      load.Add(PlanOf("certificate", { cluster.FrontOf(3) }, 40, seconds(10)));
+      if (aWithBulk) {
+        LoadPlan bulk = PlanOf("bulk", { cluster.FrontOf(3) }, 4, seconds(10));
+        bulk.headers = { { "x-answer-bytes", "1000000" } };
+        load.Add(bulk);
+      }
+      load.Run();
+      return std::tuple(
+        load.ResultOf("short"), load.ResultOf("certificate"), load.ResultOf("bulk"));
+    };
+    auto [calm, calmCertificates, none] = run(false);
+    auto [busy, busyCertificates, bulk] = run(true);
+    fmt::print(
+      "  {}: lookups p99 ms unloaded {:.1f}, with bulk {:.1f} ({:.2f} times); certificates "
+      "{:.1f}, {:.1f} ({:.2f} times); bulk good {} of {}, p50 {:.0f} ms\n",
+      way.name,
+      calm.Percentile(0.99),
+      busy.Percentile(0.99),
+      busy.Percentile(0.99) / calm.Percentile(0.99),
+      calmCertificates.Percentile(0.99),
+      busyCertificates.Percentile(0.99),
+      busyCertificates.Percentile(0.99) / calmCertificates.Percentile(0.99),
+      bulk.good,
+      bulk.sent,
+      bulk.Percentile(0.5));
+  }
+}
+
+void ShortBehindLongSlots()
+{
+  fmt::print(
+    "short work behind long, on slots: lookups 60/s of 2 ms, reports of 2 s on all long slots\n");
+  for (const Way& way : kWays) {
+    ClusterShape shape{ 2, 1, 1 };
+    shape.workMs = 2;
+    shape.upstreamSlots = 6;
+    shape.moreSettings = way.settings;
+    Cluster cluster(shape);
+    StartWith(cluster, NoteWithClasses(6, 10000));
+    auto run = [&](bool aWithBulk) {
+      Loop loop;
+      LoadGenerator load(loop, kSeed);
+      load.Add(PlanOf("short", AllFronts(cluster), 60, seconds(10)));
+      if (aWithBulk) {
+        LoadPlan bulk = PlanOf("background", AllFronts(cluster), 8, seconds(10));
+        bulk.headers = { { "x-work-ms", "2000" } };
+        load.Add(bulk);
+      }
+      load.Run();
+      return std::pair(load.ResultOf("short"), load.ResultOf("background"));
+    };
+    auto [calm, none] = run(false);
+    auto [busy, bulk] = run(true);
+    fmt::print(
+      "  {}: lookups p99 ms unloaded {:.1f}, with reports {:.1f} ({:.2f} times), good {} of {}; "
+      "reports good {} of {}\n",
+      way.name,
+      calm.Percentile(0.99),
+      busy.Percentile(0.99),
+      busy.Percentile(0.99) / calm.Percentile(0.99),
+      busy.good,
+      busy.sent,
+      bulk.good,
+      bulk.sent);
+  }
+}
+
+/// Sum of a counter over all labels and nodes.
+double SumOfCounter(Cluster& aCluster, const std::string& aName)
+{
+  double sum = 0;
+  for (int i = 0; i < aCluster.Size(); ++i) {
+    std::string text = aCluster.MetricsOf(i);
+    for (size_t at = text.find(aName); at != std::string::npos; at = text.find(aName, at + 1)) {
+      sum += std::atof(text.c_str() + text.find(' ', at));
+    }
+  }
+  return sum;
+}
+
+void SlowUpstream()
+{
+  fmt::print("one upstream in four slowed ten times, its work 10 ms; 300 calls/s\n");
+  for (const Way& way : kWays) {
+    ClusterShape shape{ 8, 1, 1 };
+    shape.workMs = 10;
+    shape.upstreamSlots = 6;
+    shape.moreSettings = way.settings;
+    Cluster cluster(shape);
+    StartWith(cluster, NoteWithClasses(6, 10000));
+    auto run = [&](Duration aLength) {
+      Loop loop;
+      LoadGenerator load(loop, kSeed);
+      load.Add(PlanOf("interactive", AllFronts(cluster), 300, aLength));
+      load.Run();
+      return load.ResultOf("interactive");
+    };
+    LoadResult calm = run(seconds(10));
+    double attemptsBefore = SumOfCounter(cluster, "dandelion_attempts_total");
+    cluster.SetUpstreamTraits(0, R"({"slots": 6, "work_ms": 10, "slowness": 10})");
+    cluster.SetUpstreamTraits(1, R"({"slots": 6, "work_ms": 10, "slowness": 10})");
+    LoadResult slowed = run(seconds(10));
+    double attempts = SumOfCounter(cluster, "dandelion_attempts_total") - attemptsBefore;
+    fmt::print(
+      "  {}: ms p50 {:.1f} p99 {:.1f} before; p50 {:.1f} p99 {:.1f} slowed ({:.2f} times); "
+      "{:.3f} attempts a call; not good {}\n",
+      way.name,
+      calm.Percentile(0.5),
+      calm.Percentile(0.99),
+      slowed.Percentile(0.5),
+      slowed.Percentile(0.99),
+      slowed.Percentile(0.99) / calm.Percentile(0.99),
+      attempts / static_cast<double>(slowed.sent),
+      slowed.sent - slowed.good);
+  }
+}
+
+} // namespace
+
+int main(int aCount, char** aWords)
+{
+  std::string only = aCount > 1 ? aWords[1] : "";
+  auto run = [&](const char* aName, void (*aScenario)()) {
+    if (only.empty() || only == aName) {
+      aScenario();
+    }
+  };
+  run("added", AddedTime);
+  run("added", AddedTimeBetweenNodes);
+  run("crest", Crest);
+  run("link", ShortBehindLong);
+  run("slots", ShortBehindLongSlots);
+  run("slow", SlowUpstream);
+  return 0;
+}
--- /dev/null
+++ b/test/property/FragmentsTakeTurns.cpp
@@ -0,0 +1,99 @@
+/// Cut messages come back whole, under the window, and none holds up the others.
+#include "support/Check.h"
+
+#include "wire/Wire.h"
+
+using namespace dandelion;
+
+namespace {
+
+LinkMessage MessageOf(uint64_t aId, size_t aBytes)
+{
+  CallReply reply;
+  reply.id = aId;
+  reply.body.data.assign(aBytes, 'x');
+  return reply;
+}
+
+} // namespace
+
+Test(fragments, come_back_whole_and_keep_to_the_window)
+{
+  CHECK_PROPERTY("messages of any sizes, credits at any time", [] {
+    FragmentSender sender;
+    FragmentReceiver receiver;
+    int count = *rc::gen::inRange(1, 6);
+    std::map<std::string, int> expected;
+    for (int i = 0; i < count; ++i) {
+      std::string bytes(*rc::gen::inRange<size_t>(1, 200000), static_cast<char>('a' + i));
+      ++expected[bytes];
+      sender.Add(MessageOf(static_cast<uint64_t>(i), 1), bytes);
+    }
+    std::vector<Fragment> onTheWay;
+    size_t bytesOnTheWay = 0;
+    int turns = 0;
+    while (!expected.empty()) {
+      RC_ASSERT(++turns < 1000);
+      if (auto next = sender.Next(); next.has_value()) {
+        bytesOnTheWay += next->bytes.data.size();
+        onTheWay.push_back(*next);
+      }
+      RC_ASSERT(bytesOnTheWay <= kFragmentWindow + kFragmentBytes);
+      if (!onTheWay.empty() && *rc::gen::inRange(0, 2) == 0) {
+        Fragment arrived = onTheWay.front();
+        onTheWay.erase(onTheWay.begin());
+        bytesOnTheWay -= arrived.bytes.data.size();
+        sender.OnCredit(arrived.bytes.data.size());
+        auto whole = receiver.Take(arrived);
+        RC_ASSERT(whole.ok());
+        if (whole->has_value()) {
+          RC_ASSERT(expected.count(**whole) == 1);
+          if (--expected[**whole] == 0) {
+            expected.erase(**whole);
+          }
+        }
+      }
+    }
+  });
+}
+
+Test(fragments, of_a_short_message_pass_a_long_one)
+{
+  FragmentSender sender;
+  sender.Add(MessageOf(1, 1), std::string(10 * kFragmentWindow, 'l'));
+  sender.Add(MessageOf(2, 1), std::string(kFragmentBytes + 1, 's'));
+  int fragments = 0;
+  bool isShortDone = false;
+  while (!isShortDone) {
+    auto next = sender.Next();
+    cr_assert(next.has_value());
+    ++fragments;
+    isShortDone = next->message == 2 && next->isLast;
+    sender.OnCredit(next->bytes.data.size());
+  }
+  cr_assert_leq(fragments, 4);
+}
+
+Test(fragments, not_all_taken_leave_their_message_unsent)
+{
+  FragmentSender sender;
+  sender.Add(MessageOf(7, 1), std::string(2 * kFragmentWindow, 'x'));
+  while (sender.Next().has_value()) {
+  }
+  std::vector<LinkMessage> unsent = sender.TakeUnsent();
+  cr_assert_eq(unsent.size(), 1);
+  cr_assert_eq(std::get<CallReply>(unsent[0]).id, 7);
+}
+
+Test(fragments, without_end_are_refused)
+{
+  FragmentReceiver receiver;
+  Fragment fragment;
+  fragment.bytes.data.assign(kFragmentBytes, 'x');
+  bool isRefused = false;
+  for (size_t taken = 0; taken <= kLargestMessage + kFragmentBytes; taken += kFragmentBytes) {
+    fragment.message = taken;
+    isRefused = !receiver.Take(fragment).ok();
+  }
+  cr_assert(isRefused);
+}
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -153,6 +153,7 @@
   if (shape_.hasPaidLink) {
     settings["peers_from_other_regions"] = endpoint(ip, 7102);
   }
+  settings.update(Json::parse(shape_.moreSettings));
   if (aNamesSeeds) {
     Json seeds = Json::array();
     for (int other = 0; other < shape_.nodes; ++other) {
@@ -267,6 +268,11 @@
   Ask({ prefix_ + "251", 8001 }, HttpRequest{ "POST", "/control", {}, aJson }, kAskLimit);
 }
 
+void Cluster::SetUpstreamTraits(int aNode, const std::string& aJson)
+{
+  Ask(UpstreamOf(aNode), HttpRequest{ "POST", "/standin/control", {}, aJson }, kAskLimit);
+}
+
 Json Cluster::StoreStats()
 {
   return AskJson({ prefix_ + "250", 2379 }, HttpRequest{ "GET", "/stats", {}, "" }, kAskLimit);
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -24,6 +24,8 @@
   int64_t upstreamSlots = 6;
   int64_t workMs = 1;
   bool startsUpstreams = true;
+  /// Settings of each node beside the usual ones, as JSON.
+  std::string moreSettings = "{}";
 };
 
 struct CallResult
@@ -50,6 +52,8 @@
 
   int Size() const { return shape_.nodes; }
   Endpoint Operators(int aNode) const { return { IpOf(aNode), 7003 }; }
+  Endpoint FrontOf(int aNode) const { return { IpOf(aNode), 7001 }; }
+  Endpoint UpstreamOf(int aNode) const { return { IpOf(aNode), 8080 }; }
   std::string IdOf(int aNode) const;
   std::string ServiceOf(int aNode) const;
   std::string RegionOf(int aNode) const;
@@ -68,6 +72,7 @@
   /// Posts faults to the store's or the link's stand-in.
   void SetStoreFaults(const std::string& aJson);
   void SetLinkFaults(const std::string& aJson);
+  void SetUpstreamTraits(int aNode, const std::string& aJson);
   Json StoreStats();
   Json LinkStats();
 
--- /dev/null
+++ b/tools/LoadGenerator.h
@@ -0,0 +1,78 @@
+/// Open-loop load: calls are sent when they are due, whether or not earlier ones were answered, and
+/// each is timed from when it was due.
+#ifndef DANDELION_TOOLS_LOAD_GENERATOR_H
+#define DANDELION_TOOLS_LOAD_GENERATOR_H
+
+#include "wire/Wire.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace dandelion {
+
+/// One stream of equal calls, for a part of the run.
+struct LoadPlan
+{
+  std::string name;
+  /// Where the calls go, in turn.
+  std::vector<Endpoint> fronts;
+  std::string method = "GET";
+  std::string path = "/";
+  HttpHeaders headers;
+  double callsPerSecond = 1;
+  Duration begin = Duration::zero();
+  Duration end = seconds(1);
+  /// Answers that come later are of no use.
+  Duration deadline = seconds(10);
+};
+
+struct LoadResult
+{
+  int64_t sent = 0;
+  /// Answered by an upstream within the deadline.
+  int64_t good = 0;
+  int64_t notRun = 0;
+  int64_t other = 0;
+  /// Milliseconds from when a call was due to its answer by an upstream.
+  std::vector<double> milliseconds;
+
+  double Percentile(double aPart) const;
+};
+
+class LoadGenerator
+{
+public:
+  LoadGenerator(Loop& aLoop, uint64_t aSeed);
+
+  void Add(const LoadPlan& aPlan);
+  /// Runs all plans to their ends and until every call has ended.
+  void Run();
+  const LoadResult& ResultOf(const std::string& aName) const;
+
+private:
+  struct Stream
+  {
+    LoadPlan plan;
+    LoadResult result;
+    TimePoint nextDue;
+    size_t nextFront = 0;
+    Timer timer;
+    bool isOver = false;
+  };
+  void SendDue(Stream& aStream);
+  void SendOne(Stream& aStream, TimePoint aDue);
+  void OnResult(Stream& aStream, TimePoint aDue, const HttpResult& aResult);
+  void StopIfOver();
+
+  Loop& loop_;
+  HttpClient client_;
+  std::mt19937_64 random_;
+  TimePoint start_;
+  std::vector<std::unique_ptr<Stream>> streams_;
+  int64_t open_ = 0;
+};
+
+} // namespace dandelion
+
+#endif
--- a/tools/UpstreamStandin.cpp
+++ b/tools/UpstreamStandin.cpp
@@ -10,9 +10,9 @@
 
 int64_t IntegerHeader(const HttpRequest& aRequest, const char* aName, int64_t aDefault)
 {
-  int64_t value = aDefault;
-  (void)absl::SimpleAtoi(FindHeader(aRequest.headers, aName), &value);
-  return value;
+  int64_t value = 0;
+  bool isGiven = absl::SimpleAtoi(FindHeader(aRequest.headers, aName), &value);
+  return isGiven ? value : aDefault;
 }
 
 } // namespace
