Refuse withdrawn routes beside the upstream; admission by pace; window by waiting; mocks

Cause: a stale caller's node went on using a withdrawn route while its service stayed, since only the service was checked beside the upstream. Calls at the crest were begun that could not end in time. Change: a call carries the version and route that led it, and both are checked when it arrives and when its slot comes; the expected wait follows the pace of the lane, and what no longer fits is refused; the fragments' window follows the waiting it causes; slowness evidence halves in 5 s instead of 2 s; seeds are a service of their own; the link's stand-in disables Nagle's algorithm.

--- a/src/admission/SlotQueue.cpp
+++ b/src/admission/SlotQueue.cpp
@@ -11,8 +11,15 @@
 constexpr int64_t kMostWaitingPerSlot = 32;
 /// Length of a lane's turn: a lane with a shorter one is served more often.
 constexpr std::array<int64_t, 5> kTurnLength = { 1, 1, 2, 4, 8 };
-/// Weight of history against the newest sample of service time.
-constexpr int kServiceTimeHistory = 7;
+/// Time that an answer takes back to its caller.
+constexpr Duration kWayBack = milliseconds(5);
+
+/// Moves an estimate towards the newest sample.
+Duration Smoothed(Duration aHistory, Duration aSample)
+{
+  constexpr int kWeightOfHistory = 7;
+  return (aHistory * kWeightOfHistory + aSample) / (kWeightOfHistory + 1);
+}
 
 bool IsLong(TrafficClass aClass)
 {
@@ -104,6 +111,7 @@
   if (lane.queue.empty()) {
     // A lane that had nothing waiting has saved up no turns.
     lane.turn = std::max(lane.turn, currentTurn_);
+    lane.lastStart = aNow;
   }
   lane.queue.push_back(Waiter{ aCall.call, aCall.deadline });
   ++waiting_;
@@ -117,7 +125,7 @@
   }
   Lane& lane = LaneOf(found->second.trafficClass);
   Duration taken = aNow - found->second.since;
-  lane.serviceTime = (lane.serviceTime * kServiceTimeHistory + taken) / (kServiceTimeHistory + 1);
+  lane.serviceTime = Smoothed(lane.serviceTime, taken);
   --lane.running;
   running_.erase(found);
   FillSlots(aEffects, aNow);
@@ -155,10 +163,11 @@
     Waiter waiter = lane.queue.front();
     lane.queue.pop_front();
     --waiting_;
-    if (waiter.deadline <= aNow) {
+    if (IsTooLate(waiter, lane, aNow)) {
       aEffects.push_back(RefuseCall{ waiter.call, ErrorKind::Overloaded });
       continue;
     }
+    NoteStart(lane, aNow);
     currentTurn_ = std::max(currentTurn_, lane.turn);
     lane.turn += kTurnLength[static_cast<size_t>(*next)];
     Run(aEffects, waiter.call, *next, aNow);
@@ -221,17 +230,35 @@
                       [&](const ClassLanes&) {
                         // The work itself must fit behind the wait, or its answer comes too late.
                         Duration work = LaneOf(aCall.trafficClass).serviceTime;
-                        return aNow + ExpectedWait(aCall.trafficClass) + work >= aCall.deadline;
+                        return aNow + ExpectedWait(aCall.trafficClass) + work + kWayBack >=
+                               aCall.deadline;
                       },
                     },
                     order_);
 }
 
+bool SlotQueue::IsTooLate(const Waiter& aWaiter, const Lane& aLane, TimePoint aNow) const
+{
+  return std::visit(
+    Overloaded{
+      [&](const OneFifo&) { return aWaiter.deadline <= aNow; },
+      [&](const ClassLanes&) { return aNow + aLane.serviceTime + kWayBack >= aWaiter.deadline; },
+    },
+    order_);
+}
+
+void SlotQueue::NoteStart(Lane& aLane, TimePoint aNow) const
+{
+  aLane.startGap = Smoothed(aLane.startGap, aNow - aLane.lastStart);
+  aLane.lastStart = aNow;
+}
+
 Duration SlotQueue::ExpectedWait(TrafficClass aClass) const
 {
+  // The pace at which the lane was served of late accounts for the slots it shares with others.
   const Lane& lane = LaneOf(aClass);
   int64_t ahead = static_cast<int64_t>(lane.queue.size()) + 1;
-  return lane.serviceTime * ahead / std::max<int64_t>(1, MostRunning(aClass));
+  return lane.startGap * ahead;
 }
 
 } // namespace dandelion
--- a/src/admission/SlotQueue.h
+++ b/src/admission/SlotQueue.h
@@ -103,6 +103,9 @@
     int64_t turn = 0;
     /// Recent time in a slot.
     Duration serviceTime = Duration::zero();
+    /// Recent time between two calls of this lane that were let out of the queue.
+    Duration startGap = Duration::zero();
+    TimePoint lastStart;
   };
   struct RunningCall
   {
@@ -119,6 +122,9 @@
   int64_t MostRunning(TrafficClass aClass) const;
   Duration ExpectedWait(TrafficClass aClass) const;
   bool IsHopeless(const CallArrived& aCall, TimePoint aNow) const;
+  /// The work of a call would end behind its deadline, if it began now.
+  bool IsTooLate(const Waiter& aWaiter, const Lane& aLane, TimePoint aNow) const;
+  void NoteStart(Lane& aLane, TimePoint aNow) const;
   /// The lane in which calls of a class wait.
   TrafficClass WaitingClass(TrafficClass aClass) const;
   Lane& LaneOf(TrafficClass aClass) { return lanes_[static_cast<size_t>(aClass)]; }
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -7,6 +7,20 @@
 constexpr Duration kTickPeriod = milliseconds(50);
 constexpr int64_t kSlotsBeforeConfiguration = 1;
 
+/// The configuration no longer leads the call here.
+bool IsWithdrawn(const Configuration& aConfiguration, const OpenCall& aCall)
+{
+  if (aConfiguration.services.count(aCall.service) == 0) {
+    return true;
+  }
+  // A caller's node that is ahead may use a route that is not known here yet.
+  if (aCall.version >= aConfiguration.version) {
+    return false;
+  }
+  auto route = aConfiguration.routes.find(aCall.route);
+  return route == aConfiguration.routes.end() || route->second.spec.service != aCall.service;
+}
+
 } // namespace
 
 AdmissionService::AdmissionService(const NodeContext& aContext)
@@ -60,7 +74,7 @@
   if (aCall.service != context_.settings.service) {
     return ErrorKind::NoUpstream;
   }
-  if (releases_->Current()->services.count(aCall.service) == 0) {
+  if (IsWithdrawn(*releases_->Current(), aCall)) {
     return ErrorKind::Withdrawn;
   }
   return std::nullopt;
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -174,6 +174,8 @@
 {
   OpenCall open;
   open.id = aAttempt;
+  open.version = aCall.routes->Source().version;
+  open.route = aCall.route.route->name;
   open.service = aCall.route.service->name;
   open.trafficClass = aCall.route.policy->trafficClass;
   open.deadlineMs = std::max<int64_t>(1, ToMilliseconds(aCall.deadline - context_.loop.Now()));
--- a/src/dandeliond/MembershipService.cpp
+++ b/src/dandeliond/MembershipService.cpp
@@ -6,30 +6,9 @@
 
 namespace {
 
-constexpr char kSeedsPrefix[] = "dandelion/seeds/";
 constexpr Duration kTickPeriod = milliseconds(100);
 constexpr Duration kAskPeriod = milliseconds(500);
 constexpr Duration kHeadRetry = milliseconds(500);
-/// A relay looks for strangers among the seeds this often; a node that is alone more often.
-constexpr Duration kSeedsPeriod = seconds(10);
-constexpr Duration kSeedsPeriodAlone = seconds(1);
-constexpr size_t kMostSeedsPerZone = 4;
-
-/// A first contact as the store keeps it, under the key of its zone.
-struct Seed
-{
-  std::string region;
-  Endpoint endpoint;
-  Endpoint farEndpoint;
-};
-
-template<class Visitor>
-void VisitFields(Visitor& aVisitor, Seed& aSeed)
-{
-  aVisitor.Field("region", aSeed.region);
-  aVisitor.Field("endpoint", aSeed.endpoint);
-  aVisitor.Field("far_endpoint", aSeed.farEndpoint);
-}
 
 Member SelfOf(const NodeSettings& aSettings, uint64_t aIncarnation)
 {
@@ -83,7 +62,6 @@
   Registry& registry = context_.registry;
   datagrams_ = &registry.Find<Datagrams>(ServiceName::Datagrams);
   links_ = &registry.Find<Links>(ServiceName::Links);
-  store_ = &registry.Find<Store>(ServiceName::Store);
   log_ = &registry.Find<ReleaseLog>(ServiceName::ReleaseLog);
   releases_ = &registry.Find<Releases>(ServiceName::Releases);
   spreading_ = &registry.Find<Spreading>(ServiceName::Spreading);
@@ -97,9 +75,6 @@
   knownSeeds_.insert(context_.settings.seeds.begin(), context_.settings.seeds.end());
   knownSeeds_.erase(context_.settings.peers);
   joining_.OnPeersKnown(knownSeeds_.size());
-  // A herd that starts at once must not ask the store at once.
-  Duration jitter = milliseconds(static_cast<int64_t>(random_() % 200));
-  seedsTimer_ = context_.loop.After(jitter, [this] { ReadSeeds(); });
   ReadHead();
   AskPeers();
   Tick();
@@ -109,14 +84,12 @@
 void MembershipService::Stop()
 {
   tick_.Cancel();
-  seedsTimer_.Cancel();
   askTimer_.Cancel();
   headTimer_.Cancel();
 }
 
 void MembershipService::Leave(MemberState aState)
 {
-  isLeaving_ = true;
   Carry(prober_.Leave(aState, context_.loop.Now()));
 }
 
@@ -309,91 +282,25 @@
   }
 }
 
-void MembershipService::ReadSeeds()
-{
-  bool isAlone = prober_.Table().All().size() <= 1;
-  Duration period = isAlone || !isReady_ ? kSeedsPeriodAlone : kSeedsPeriod;
-  Duration jitter = milliseconds(static_cast<int64_t>(random_() % 500));
-  seedsTimer_ = context_.loop.After(period + jitter, [this] { ReadSeeds(); });
-  bool isNeeded = !isReady_ || IsRelayOrAlone();
-  if (!isNeeded || isLeaving_) {
-    return;
-  }
-  ReadRequest request;
-  request.key = kSeedsPrefix;
-  request.end = EndOfPrefix(kSeedsPrefix);
-  TimePoint askedAt = context_.loop.Now();
-  store_->Read(request, [this, askedAt](const absl::StatusOr<ReadResult>& aResult) {
-    OnSeeds(aResult, askedAt);
-  });
-}
-
-void MembershipService::OnSeeds(const absl::StatusOr<ReadResult>& aResult, TimePoint aAskedAt)
+void MembershipService::MeetSeeds(const std::vector<Endpoint>& aSeeds)
 {
-  if (!aResult.ok()) {
-    return;
-  }
-  prober_.Witness(aAskedAt);
-  std::string ownZone;
-  for (const KeyValue& item : aResult->items) {
-    auto seeds = Decode<std::vector<Seed>>(item.value);
-    if (item.key == kSeedsPrefix + context_.settings.zone) {
-      ownZone = item.value;
+  for (const Endpoint& seed : aSeeds) {
+    bool isStranger =
+      seed != context_.settings.peers && prober_.Table().FindByEndpoint(seed) == nullptr;
+    if (!isStranger) {
+      continue;
     }
-    for (const Seed& seed : seeds.value_or(std::vector<Seed>())) {
-      bool isNear = seed.region == context_.settings.region;
-      MeetSeed(isNear ? seed.endpoint : seed.farEndpoint);
+    knownSeeds_.insert(seed);
+    if (isReady_) {
+      Carry(prober_.Contact(seed, context_.loop.Now()));
     }
   }
-  if (isReady_) {
-    OfferAsSeed(ownZone);
-  } else {
+  if (!isReady_) {
     joining_.OnPeersKnown(knownSeeds_.size());
     AskPeers();
   }
 }
 
-void MembershipService::MeetSeed(const Endpoint& aSeed)
-{
-  bool isStranger =
-    aSeed != context_.settings.peers && prober_.Table().FindByEndpoint(aSeed) == nullptr;
-  if (!isStranger) {
-    return;
-  }
-  knownSeeds_.insert(aSeed);
-  if (isReady_) {
-    Carry(prober_.Contact(aSeed, context_.loop.Now()));
-  }
-}
-
-void MembershipService::OfferAsSeed(const std::string& aOwnZone)
-{
-  auto listed = Decode<std::vector<Seed>>(aOwnZone).value_or(std::vector<Seed>());
-  const Member& self = prober_.Self();
-  auto isSelf = [&](const Seed& aSeed) { return aSeed.endpoint == self.endpoint; };
-  bool isListed = std::any_of(listed.begin(), listed.end(), isSelf);
-  if (isListed || !IsRelayOrAlone()) {
-    return;
-  }
-  // Two relays may write at once and one of them is lost; it writes again at its next look.
-  std::vector<Seed> seeds{ Seed{ self.region, self.endpoint, self.farEndpoint } };
-  for (const Seed& other : listed) {
-    bool isThere = prober_.Table().FindByEndpoint(other.endpoint) != nullptr;
-    if (seeds.size() < kMostSeedsPerZone && isThere) {
-      seeds.push_back(other);
-    }
-  }
-  store_->Put(
-    kSeedsPrefix + context_.settings.zone, Encode(seeds), std::nullopt, [](const absl::Status&) {});
-}
-
-bool MembershipService::IsRelayOrAlone() const
-{
-  const Member& self = prober_.Self();
-  return prober_.Table().All().size() <= 1 ||
-         Contains(RelaysOfZone(prober_.Table(), self.zone), self.id);
-}
-
 void MembershipService::AskForWitness()
 {
   TimePoint now = context_.loop.Now();
--- a/src/dandeliond/MembershipService.h
+++ b/src/dandeliond/MembershipService.h
@@ -39,6 +39,8 @@
     onVersionSeen_ = std::move(aCallback);
   }
   void Leave(MemberState aState) override;
+  void MeetSeeds(const std::vector<Endpoint>& aSeeds) override;
+  void OnStoreAnswered(TimePoint aAskedAt) override { prober_.Witness(aAskedAt); }
 
   void OnLinkMessage(LinkId aLink, const LinkMessage& aMessage) override;
 
@@ -52,12 +54,6 @@
   void AskPeers();
   void TryToFinishJoining();
   void Announce();
-  void ReadSeeds();
-  void OnSeeds(const absl::StatusOr<ReadResult>& aResult, TimePoint aAskedAt);
-  void MeetSeed(const Endpoint& aSeed);
-  /// `aOwnZone` is the stored value of our zone's key.
-  void OfferAsSeed(const std::string& aOwnZone);
-  bool IsRelayOrAlone() const;
   void AskForWitness();
 
   const NodeContext& context_;
@@ -66,20 +62,17 @@
   std::mt19937_64 random_;
   Datagrams* datagrams_ = nullptr;
   Links* links_ = nullptr;
-  Store* store_ = nullptr;
   ReleaseLog* log_ = nullptr;
   Releases* releases_ = nullptr;
   Spreading* spreading_ = nullptr;
   std::set<Endpoint> knownSeeds_;
   std::set<Endpoint> asked_;
   bool isReady_ = false;
-  bool isLeaving_ = false;
   bool isReadingHead_ = false;
   bool isAskingWitness_ = false;
   std::vector<std::function<void()>> listeners_;
   std::function<void(const Endpoint&, Version)> onVersionSeen_;
   Timer tick_;
-  Timer seedsTimer_;
   Timer askTimer_;
   Timer headTimer_;
 };
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -7,6 +7,7 @@
 #include "dandeliond/OperatorService.h"
 #include "dandeliond/ReleaseLogService.h"
 #include "dandeliond/ReleasesService.h"
+#include "dandeliond/SeedsService.h"
 #include "dandeliond/SpreadingService.h"
 #include "dandeliond/SubmissionsService.h"
 
@@ -34,7 +35,9 @@
   };
   add(ServiceName::Metrics, std::make_unique<MetricsService>());
   add(ServiceName::Store, std::make_unique<EtcdStore>(loop_, settings_.store.servers, storeLimit));
-  add(ServiceName::Links, std::make_unique<WebsocketLinks>(loop_, settings_.peers, hello));
+  bool cutsLargeMessages = settings_.lanes == LanesName::ByClass;
+  add(ServiceName::Links,
+      std::make_unique<WebsocketLinks>(loop_, settings_.peers, hello, cutsLargeMessages));
   add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers));
   add(ServiceName::Upstream, std::make_unique<HttpUpstream>(loop_, settings_.upstream));
   add(ServiceName::Releases, std::make_unique<ReleasesService>());
@@ -42,6 +45,7 @@
   add(ServiceName::Spreading, std::make_unique<SpreadingService>(context_, aSeed));
   add(ServiceName::Membership,
       std::make_unique<MembershipService>(context_, aIncarnation, aSeed + 1));
+  add(ServiceName::Seeds, std::make_unique<SeedsService>(context_, aSeed + 3));
   add(ServiceName::Submissions, std::make_unique<SubmissionsService>(context_));
   add(ServiceName::Admission, std::make_unique<AdmissionService>(context_));
   add(ServiceName::Calls, std::make_unique<CallsService>(context_, aSeed + 2));
--- a/src/dandeliond/OperatorService.cpp
+++ b/src/dandeliond/OperatorService.cpp
@@ -56,8 +56,8 @@
 {
   int64_t limit = 0;
   bool isGiven = absl::SimpleAtoi(FindHeader(aRequest.headers, kTimeLimitHeader), &limit);
-  return milliseconds(
-    isGiven ? std::clamp<int64_t>(limit, 0, kMostTimeLimitMs) : kDefaultTimeLimitMs);
+  return milliseconds(isGiven ? std::clamp<int64_t>(limit, 0, kMostTimeLimitMs)
+                              : kDefaultTimeLimitMs);
 }
 
 } // namespace
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -93,6 +93,10 @@
   virtual void OnVersionSeen(std::function<void(const Endpoint&, Version)> aCallback) = 0;
   /// Announces that this node leaves, or at the end that it has gone.
   virtual void Leave(MemberState aState) = 0;
+  /// Makes contact with the strangers among some first contacts.
+  virtual void MeetSeeds(const std::vector<Endpoint>& aSeeds) = 0;
+  /// The store has answered what it was asked at this time, so the node is not cut off.
+  virtual void OnStoreAnswered(TimePoint aAskedAt) = 0;
 };
 
 /// `ServiceName::Spreading`: how far versions have come.
--- a/src/kernel/Registry.h
+++ b/src/kernel/Registry.h
@@ -23,6 +23,7 @@
   Releases,
   ReleaseLog,
   Membership,
+  Seeds,
   Spreading,
   Submissions,
   Admission,
@@ -36,19 +37,13 @@
 struct EnumNames<ServiceName>
 {
   static constexpr EnumName<ServiceName> kTable[] = {
-    { ServiceName::Store, "store" },
-    { ServiceName::Links, "links" },
-    { ServiceName::Datagrams, "datagrams" },
-    { ServiceName::Upstream, "upstream" },
-    { ServiceName::Releases, "releases" },
-    { ServiceName::ReleaseLog, "release-log" },
-    { ServiceName::Membership, "membership" },
-    { ServiceName::Spreading, "spreading" },
-    { ServiceName::Submissions, "submissions" },
-    { ServiceName::Admission, "admission" },
-    { ServiceName::Calls, "calls" },
-    { ServiceName::Front, "front" },
-    { ServiceName::Operator, "operator" },
+    { ServiceName::Store, "store" },           { ServiceName::Links, "links" },
+    { ServiceName::Datagrams, "datagrams" },   { ServiceName::Upstream, "upstream" },
+    { ServiceName::Releases, "releases" },     { ServiceName::ReleaseLog, "release-log" },
+    { ServiceName::Membership, "membership" }, { ServiceName::Seeds, "seeds" },
+    { ServiceName::Spreading, "spreading" },   { ServiceName::Submissions, "submissions" },
+    { ServiceName::Admission, "admission" },   { ServiceName::Calls, "calls" },
+    { ServiceName::Front, "front" },           { ServiceName::Operator, "operator" },
     { ServiceName::Metrics, "metrics" },
   };
 };
--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -13,7 +13,7 @@
 constexpr double kRise = 0.5;
 constexpr double kFall = 0.1;
 /// Evidence of slowness halves in this time without a sample, so that a slow upstream is probed.
-constexpr Duration kEvidenceHalfLife = seconds(2);
+constexpr Duration kEvidenceHalfLife = seconds(5);
 /// Time of an answer where nothing is known.
 constexpr Duration kUnknownLatency = milliseconds(1);
 /// Upstreams that are there when the node starts are not new.
--- a/src/wire/Fragments.cpp
+++ b/src/wire/Fragments.cpp
@@ -9,14 +9,32 @@
   queue_.push_back(Outgoing{ nextId_++, aMessage, std::move(aBytes) });
 }
 
-void FragmentSender::OnCredit(uint64_t aBytes)
+void FragmentSender::OnCredit(uint64_t aBytes, TimePoint aNow)
 {
   onTheWay_ -= std::min<size_t>(onTheWay_, aBytes);
+  if (!sentAt_.empty()) {
+    AdjustWindow(aNow - sentAt_.front(), aBytes);
+    sentAt_.pop_front();
+  }
+}
+
+void FragmentSender::AdjustWindow(Duration aRoundTrip, uint64_t aBytes)
+{
+  shortestRoundTrip_ = std::min(shortestRoundTrip_.value_or(aRoundTrip), aRoundTrip);
+  // What a round trip takes beyond the shortest one is waiting. Below the target the window grows
+  // by a fragment each round trip, above it shrinks in proportion.
+  Duration wait = aRoundTrip - *shortestRoundTrip_;
+  double offTarget =
+    1 - std::chrono::duration<double>(wait) / std::chrono::duration<double>(kTargetWait);
+  double change =
+    std::max(offTarget, -1.0) * static_cast<double>(aBytes * kFragmentBytes) / window_;
+  window_ = std::clamp(
+    window_ + change, static_cast<double>(kSmallestWindow), static_cast<double>(kLargestWindow));
 }
 
-std::optional<Fragment> FragmentSender::Next()
+std::optional<Fragment> FragmentSender::Next(TimePoint aNow)
 {
-  if (queue_.empty() || onTheWay_ >= kFragmentWindow) {
+  if (queue_.empty() || static_cast<double>(onTheWay_) >= window_) {
     return std::nullopt;
   }
   Outgoing outgoing = std::move(queue_.front());
@@ -26,6 +44,7 @@
   fragment.bytes.data = outgoing.bytes.substr(outgoing.sent, kFragmentBytes);
   outgoing.sent += fragment.bytes.data.size();
   onTheWay_ += fragment.bytes.data.size();
+  sentAt_.push_back(aNow);
   fragment.isLast = outgoing.sent >= outgoing.bytes.size();
   if (!fragment.isLast) {
     // To the back: the messages on a link take turns.
--- a/src/wire/Fragments.h
+++ b/src/wire/Fragments.h
@@ -15,8 +15,13 @@
 
 /// Messages up to this size are not cut.
 constexpr size_t kFragmentBytes = 8 * 1024;
-/// Fragment bytes on their way in one direction of one link.
-constexpr size_t kFragmentWindow = 48 * 1024;
+/// Bounds of the fragment bytes on their way in one direction of one link.
+constexpr size_t kSmallestWindow = 2 * kFragmentBytes;
+constexpr size_t kFirstWindow = 6 * kFragmentBytes;
+constexpr size_t kLargestWindow = 64 * kFragmentBytes;
+/// Waiting on the way that a link's own fragments may cause. The window follows it, so that bulk
+/// fills the way without standing before short work of other links.
+constexpr Duration kTargetWait = milliseconds(5);
 /// The largest message that a receiver puts together.
 constexpr size_t kLargestMessage = 24 * 1024 * 1024;
 
@@ -55,9 +60,10 @@
 public:
   /// Takes a message whose encoding is too large for one frame.
   void Add(const LinkMessage& aMessage, std::string aBytes);
-  void OnCredit(uint64_t aBytes);
+  void OnCredit(uint64_t aBytes, TimePoint aNow);
   /// The next fragment, where the window allows one.
-  std::optional<Fragment> Next();
+  std::optional<Fragment> Next(TimePoint aNow);
+  size_t Window() const { return static_cast<size_t>(window_); }
   /// Messages of which the last fragment has not been taken.
   std::vector<LinkMessage> TakeUnsent();
 
@@ -70,7 +76,13 @@
     size_t sent = 0;
   };
   uint64_t nextId_ = 1;
+  void AdjustWindow(Duration aRoundTrip, uint64_t aBytes);
+
   size_t onTheWay_ = 0;
+  /// When each fragment on the way was sent; credits come in the same order.
+  std::deque<TimePoint> sentAt_;
+  std::optional<Duration> shortestRoundTrip_;
+  double window_ = kFirstWindow;
   std::deque<Outgoing> queue_;
 };
 
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -85,6 +85,9 @@
 struct OpenCall
 {
   uint64_t id = 0;
+  /// The configuration version by which the call was routed, and the route.
+  Version version = 0;
+  std::string route;
   std::string service;
   TrafficClass trafficClass = TrafficClass::Interactive;
   /// What is left of the caller's time.
@@ -206,6 +209,8 @@
 void VisitFields(Visitor& aVisitor, OpenCall& aCall)
 {
   aVisitor.Field("id", aCall.id);
+  aVisitor.Field("version", aCall.version);
+  aVisitor.Field("route", aCall.route);
   aVisitor.Field("service", aCall.service);
   aVisitor.Field("class", aCall.trafficClass);
   aVisitor.Field("deadline_ms", aCall.deadlineMs);
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -180,7 +180,7 @@
   {
     LinkEnvelope envelope{ owner_.version_, aMessage };
     std::string bytes = Encode(LinkFrame(envelope));
-    if (bytes.size() <= kFragmentBytes) {
+    if (bytes.size() <= kFragmentBytes || !owner_.cutsLargeMessages_) {
       session_->Send(bytes);
       return;
     }
@@ -190,7 +190,8 @@
 
   void SendFragments()
   {
-    for (auto next = fragments_.Next(); next.has_value(); next = fragments_.Next()) {
+    TimePoint now = owner_.loop_.Now();
+    for (auto next = fragments_.Next(now); next.has_value(); next = fragments_.Next(now)) {
       session_->Send(Encode(LinkFrame(*std::move(next))));
     }
   }
@@ -206,7 +207,7 @@
                  [&](const LinkEnvelope& aEnvelope) { owner_.Receive(id_, aEnvelope); },
                  [&](const Fragment& aFragment) { OnFragment(aFragment); },
                  [&](const FragmentCredit& aCredit) {
-                   fragments_.OnCredit(aCredit.bytes);
+                   fragments_.OnCredit(aCredit.bytes, owner_.loop_.Now());
                    SendFragments();
                  },
                },
@@ -284,10 +285,11 @@
   FragmentReceiver received_;
 };
 
-WebsocketLinks::WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf)
+WebsocketLinks::WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf, bool aCutsLargeMessages)
   : loop_(aLoop)
   , listen_(std::move(aListen))
   , self_(std::move(aSelf))
+  , cutsLargeMessages_(aCutsLargeMessages)
 {
 }
 
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -18,8 +18,9 @@
   , public Links
 {
 public:
-  /// `aSelf` names this node and where its peers reach it.
-  WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf);
+  /// `aSelf` names this node and where its peers reach it. Without `aCutsLargeMessages` a large
+  /// message stands before all later ones, the plain way, for comparison.
+  WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf, bool aCutsLargeMessages = true);
   ~WebsocketLinks() override;
 
   absl::Status Start() override;
@@ -52,6 +53,7 @@
   Loop& loop_;
   Endpoint listen_;
   Hello self_;
+  bool cutsLargeMessages_;
   evconnlistener* listener_ = nullptr;
   LinkId nextId_ = 1;
   std::map<LinkId, std::unique_ptr<Link>> links_;
--- /dev/null
+++ b/test/correctness/CallersNodeRepeatsSafely.cpp
@@ -0,0 +1,133 @@
+/// The node of the caller sends a call again only where that is safe.
+#include "support/Check.h"
+#include "support/Mocks.h"
+#include "support/Notes.h"
+
+#include "dandeliond/CallsService.h"
+
+using namespace dandelion;
+using namespace dandelion::testing;
+using trompeloeil::_;
+
+namespace {
+
+/// A calls service between mocks, with two upstreams of s0 beside other nodes.
+class Bench
+{
+public:
+  Bench()
+    : context{ loop, registry, settings }
+  {
+    settings.id = "self";
+    settings.region = "east";
+    settings.hedge = HedgeName::None;
+    registry.Add(ServiceName::Metrics, std::make_unique<MetricsService>());
+    auto mockLinks = std::make_unique<MockLinks>();
+    links = mockLinks.get();
+    registry.Add(ServiceName::Links, std::move(mockLinks));
+    auto fakeReleases = std::make_unique<FakeReleases>();
+    fakeReleases->Set(MakeFirstConfiguration());
+    registry.Add(ServiceName::Releases, std::move(fakeReleases));
+    auto membership = std::make_unique<FakeMembership>(MakeMember("self", "s9", 1));
+    membership->table.Merge(MakeMember("a", "s0", 2));
+    membership->table.Merge(MakeMember("b", "s0", 3));
+    registry.Add(ServiceName::Membership, std::move(membership));
+    registry.Add(ServiceName::Spreading, std::make_unique<FakeSpreading>());
+    registry.Add(ServiceName::Admission, std::make_unique<MockAdmission>());
+    auto made = std::make_unique<CallsService>(context, 3);
+    calls = made.get();
+    registry.Add(ServiceName::Calls, std::move(made));
+    expectations.push_back(NAMED_ALLOW_CALL(*links, AddHandler(_)));
+    expectations.push_back(NAMED_ALLOW_CALL(*links, AwaitAnswer(_)));
+    expectations.push_back(NAMED_ALLOW_CALL(*links, AnswerCame(_)));
+    expectations.push_back(
+      NAMED_ALLOW_CALL(*links, Open(_, _)).RETURN(static_cast<LinkId>(_1.port)));
+    expectations.push_back(
+      NAMED_ALLOW_CALL(*links, Send(_, _)).LR_SIDE_EFFECT(sent.emplace_back(_1, _2)));
+    cr_assert(registry.StartAll().ok());
+  }
+
+  void Begin(const std::string& aMethod)
+  {
+    calls->Begin(CallerRequest{ aMethod, "/r0/x", {}, "" },
+                 [this](const CallerAnswer& aAnswer) { answers.push_back(aAnswer); });
+  }
+
+  /// Ends the newest attempt with an outcome.
+  void Reply(CallOutcome aOutcome, std::optional<ErrorKind> aError)
+  {
+    auto [link, message] = sent.back();
+    CallReply reply;
+    reply.id = std::get<OpenCall>(message).id;
+    reply.outcome = aOutcome;
+    reply.error = aError;
+    reply.status = 200;
+    calls->OnLinkMessage(link, reply);
+  }
+
+  Loop loop;
+  Registry registry;
+  NodeSettings settings;
+  NodeContext context;
+  MockLinks* links = nullptr;
+  CallsService* calls = nullptr;
+  std::vector<std::pair<LinkId, LinkMessage>> sent;
+  std::vector<CallerAnswer> answers;
+  std::vector<std::unique_ptr<trompeloeil::expectation>> expectations;
+};
+
+} // namespace
+
+Test(callers_node, tries_another_upstream_after_a_refusal)
+{
+  Bench bench;
+  bench.Begin("POST");
+  bench.Reply(CallOutcome::NotRun, ErrorKind::Overloaded);
+  cr_assert_eq(bench.sent.size(), 2);
+  cr_assert_neq(bench.sent[0].first, bench.sent[1].first);
+  bench.Reply(CallOutcome::Ran, std::nullopt);
+  cr_assert_eq(bench.answers.size(), 1);
+  cr_assert(bench.answers[0].outcome == CallOutcome::Ran);
+}
+
+Test(callers_node, never_sends_a_deposit_again_that_may_have_run)
+{
+  Bench bench;
+  bench.Begin("POST");
+  bench.Reply(CallOutcome::Unknown, ErrorKind::OutcomeUnknown);
+  cr_assert_eq(bench.sent.size(), 1);
+  cr_assert(bench.answers.at(0).outcome == CallOutcome::Unknown);
+}
+
+Test(callers_node, sends_a_lookup_again_that_may_have_run)
+{
+  Bench bench;
+  bench.Begin("GET");
+  bench.Reply(CallOutcome::Unknown, ErrorKind::OutcomeUnknown);
+  cr_assert_eq(bench.sent.size(), 2);
+}
+
+Test(callers_node, knows_what_never_left_on_a_lost_link)
+{
+  Bench bench;
+  bench.Begin("POST");
+  auto [link, message] = bench.sent.back();
+  // The frame still waited for the link to open, so the call has certainly not run.
+  bench.calls->OnLinkClosed(link, { message });
+  cr_assert_eq(bench.sent.size(), 2);
+  // This one had left.
+  bench.calls->OnLinkClosed(bench.sent.back().first, {});
+  cr_assert_eq(bench.sent.size(), 2);
+  cr_assert(bench.answers.at(0).outcome == CallOutcome::Unknown);
+}
+
+Test(callers_node, ends_when_every_upstream_has_refused)
+{
+  Bench bench;
+  bench.Begin("GET");
+  bench.Reply(CallOutcome::NotRun, ErrorKind::Overloaded);
+  bench.Reply(CallOutcome::NotRun, ErrorKind::Leaving);
+  cr_assert_eq(bench.sent.size(), 2);
+  cr_assert(bench.answers.at(0).outcome == CallOutcome::NotRun);
+  cr_assert(bench.answers.at(0).error == ErrorKind::Leaving);
+}
--- /dev/null
+++ b/test/correctness/UpstreamsNodeGuardsItsUpstream.cpp
@@ -0,0 +1,141 @@
+/// The node beside an upstream hands it only what its own configuration allows.
+#include "support/Check.h"
+#include "support/Mocks.h"
+#include "support/Notes.h"
+
+#include "dandeliond/AdmissionService.h"
+
+using namespace dandelion;
+using namespace dandelion::testing;
+using trompeloeil::_;
+
+namespace {
+
+/// An admission service between mocks, beside an upstream of s0 with one slot.
+class Bench
+{
+public:
+  Bench()
+    : context{ loop, registry, settings }
+  {
+    settings.id = "self";
+    settings.service = "s0";
+    registry.Add(ServiceName::Metrics, std::make_unique<MetricsService>());
+    links = Add<MockLinks>(ServiceName::Links);
+    upstream = Add<MockUpstream>(ServiceName::Upstream);
+    releases = Add<FakeReleases>(ServiceName::Releases);
+    auto fakeMembership = std::make_unique<FakeMembership>(MakeMember("self", "s0", 1));
+    membership = fakeMembership.get();
+    registry.Add(ServiceName::Membership, std::move(fakeMembership));
+    auto made = std::make_unique<AdmissionService>(context);
+    admission = made.get();
+    registry.Add(ServiceName::Admission, std::move(made));
+    ALLOW_CALL(*links, AddHandler(_));
+    cr_assert(registry.StartAll().ok());
+    Configuration first = MakeFirstConfiguration();
+    first.services["s0"].spec.slots = 1;
+    releases->Set(first);
+  }
+
+  OpenCall MakeCall(uint64_t aId, Version aVersion)
+  {
+    OpenCall call;
+    call.id = aId;
+    call.service = "s0";
+    call.route = "r0";
+    call.version = aVersion;
+    call.deadlineMs = 10000;
+    return call;
+  }
+
+  /// Serves a call and keeps its reply.
+  void Serve(const OpenCall& aCall)
+  {
+    admission->Serve(aCall, [this](const CallReply& aReply) { replies[aReply.id] = aReply; });
+  }
+
+  /// The second version, without route r0.
+  Configuration WithoutRoute()
+  {
+    Note note;
+    note.id = "withdraw";
+    note.withdraw.routes = { "r0" };
+    return *Apply(*releases->Current(), note, 1);
+  }
+
+  Loop loop;
+  Registry registry;
+  NodeSettings settings;
+  NodeContext context;
+  MockLinks* links = nullptr;
+  MockUpstream* upstream = nullptr;
+  FakeReleases* releases = nullptr;
+  FakeMembership* membership = nullptr;
+  AdmissionService* admission = nullptr;
+  std::map<uint64_t, CallReply> replies;
+
+private:
+  template<class T>
+  T* Add(ServiceName aName)
+  {
+    auto made = std::make_unique<T>();
+    T* raw = made.get();
+    registry.Add(aName, std::move(made));
+    return raw;
+  }
+};
+
+} // namespace
+
+Test(upstreams_node, refuses_a_route_that_was_withdrawn_since_the_caller_looked)
+{
+  Bench bench;
+  bench.releases->Set(bench.WithoutRoute());
+  FORBID_CALL(*bench.upstream, Send(_, _));
+  bench.Serve(bench.MakeCall(1, 1));
+  cr_assert(bench.replies.at(1).outcome == CallOutcome::NotRun);
+  cr_assert(bench.replies.at(1).error == ErrorKind::Withdrawn);
+}
+
+Test(upstreams_node, serves_a_newer_caller_whose_route_it_does_not_know_yet)
+{
+  Bench bench;
+  OpenCall call = bench.MakeCall(1, 2);
+  call.route = "new-route";
+  REQUIRE_CALL(*bench.upstream, Send(_, _)).RETURN(7u);
+  bench.Serve(call);
+}
+
+Test(upstreams_node, refuses_what_waited_while_its_route_was_withdrawn)
+{
+  Bench bench;
+  Upstream::OnResult finish;
+  REQUIRE_CALL(*bench.upstream, Send(_, _)).LR_SIDE_EFFECT(finish = _2).RETURN(7u).TIMES(1);
+  bench.Serve(bench.MakeCall(1, 1));
+  bench.Serve(bench.MakeCall(2, 1));
+  cr_assert(bench.replies.empty());
+  bench.releases->Set(bench.WithoutRoute());
+  finish(UpstreamResult{ CallOutcome::Ran, 200, {}, "" });
+  cr_assert(bench.replies.at(1).outcome == CallOutcome::Ran);
+  cr_assert(bench.replies.at(2).outcome == CallOutcome::NotRun);
+}
+
+Test(upstreams_node, refuses_all_while_it_is_fenced)
+{
+  Bench bench;
+  bench.membership->isFenced = true;
+  FORBID_CALL(*bench.upstream, Send(_, _));
+  bench.Serve(bench.MakeCall(1, 1));
+  cr_assert(bench.replies.at(1).error == ErrorKind::Fenced);
+}
+
+Test(upstreams_node, cancels_down_to_the_upstream)
+{
+  Bench bench;
+  REQUIRE_CALL(*bench.upstream, Send(_, _)).RETURN(7u).TIMES(2);
+  REQUIRE_CALL(*bench.upstream, Cancel(7u));
+  auto ticket = bench.admission->Serve(bench.MakeCall(1, 1), [](const CallReply&) {});
+  bench.Serve(bench.MakeCall(2, 1));
+  // The slot of the cancelled call goes to the one that waits.
+  bench.admission->Cancel(ticket);
+}
--- a/test/process/CallsSurviveFailures.cpp
+++ b/test/process/CallsSurviveFailures.cpp
@@ -140,6 +140,48 @@
   CheckAgainstJournals(cluster, traffic);
 }
 
+Test(calls, on_a_link_that_went_silent_are_settled)
+{
+  ClusterShape shape{ 4, 1, 2 };
+  shape.hasPaidLink = true;
+  shape.workMs = 20;
+  Cluster cluster(shape);
+  StartWithNote(cluster);
+  // Service s0 is left in the east only, so calls from the west must cross.
+  cluster.Terminate(1);
+  cr_assert_eq(cluster.WaitForExit(1), 0);
+  Traffic traffic(cluster, { 3, 3, 3 }, "POST");
+  traffic.Begin();
+  for (int round = 0; round < 3; ++round) {
+    cluster.Wait(milliseconds(600));
+    cluster.SetLinkFaults(R"({"silence_present": true})");
+    cluster.Wait(seconds(3));
+  }
+  traffic.End();
+  cr_assert_eq(traffic.Open(), 0);
+  cr_assert_gt(traffic.Count("ran"), 20);
+  cr_assert_gt(traffic.Count("unknown"), 0);
+  CheckAgainstJournals(cluster, traffic);
+}
+
+Test(calls, of_a_caller_that_vanishes_are_cancelled_at_the_upstream)
+{
+  Cluster cluster(ClusterShape{ 4, 1, 2 });
+  StartWithNote(cluster);
+  for (int front : { 0, 2 }) {
+    int64_t before = cluster.CancelledAt(0) + cluster.CancelledAt(1);
+    Loop loop;
+    HttpClient caller(loop);
+    HttpRequest request{ "POST", "/s0/deposit", { { "x-work-ms", "60000" } }, "" };
+    auto id = caller.Send(cluster.FrontOf(front), request, seconds(60), [](const HttpResult&) {});
+    Timer vanish = loop.After(milliseconds(500), [&] { caller.Cancel(id); });
+    Timer end = loop.After(milliseconds(600), [&] { loop.Stop(); });
+    loop.Run();
+    cr_assert(cluster.WaitUntil(
+      [&] { return cluster.CancelledAt(0) + cluster.CancelledAt(1) == before + 1; }, seconds(8)));
+  }
+}
+
 Test(calls, that_are_idempotent_are_answered_while_nodes_are_killed)
 {
   Cluster cluster(ClusterShape{ 8, 2, 1 });
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -100,6 +100,9 @@
   /// Ids of the calls that the upstream beside a node has begun.
   std::vector<std::string> JournalOf(int aNode);
 
+  /// Calls that the upstream beside a node has seen cancelled.
+  int64_t CancelledAt(int aNode);
+
   /// Runs the loop until the condition holds; false where it does not within the limit.
   bool WaitUntil(const std::function<bool()>& aCondition, Duration aLimit = seconds(30));
   void Wait(Duration aTime);
--- /dev/null
+++ b/test/support/Mocks.h
@@ -0,0 +1,147 @@
+/// Mocks of the interfaces by which services see each other and the outside.
+#ifndef DANDELION_TEST_SUPPORT_MOCKS_H
+#define DANDELION_TEST_SUPPORT_MOCKS_H
+
+#include "dandeliond/Services.h"
+
+#include <criterion/criterion.h>
+#include <trompeloeil.hpp>
+
+namespace dandelion::testing {
+
+class MockLinks
+  : public Service
+  , public trompeloeil::mock_interface<Links>
+{
+public:
+  IMPLEMENT_MOCK2(Open);
+  IMPLEMENT_MOCK2(Send);
+  IMPLEMENT_MOCK1(AwaitAnswer);
+  IMPLEMENT_MOCK1(AnswerCame);
+  IMPLEMENT_CONST_MOCK1(PeerOf);
+  IMPLEMENT_MOCK1(AddHandler);
+  IMPLEMENT_MOCK1(SetVersion);
+  IMPLEMENT_MOCK1(OnVersionSeen);
+  IMPLEMENT_CONST_MOCK1(BytesSent);
+};
+
+class MockUpstream
+  : public Service
+  , public trompeloeil::mock_interface<Upstream>
+{
+public:
+  IMPLEMENT_MOCK2(Send);
+  IMPLEMENT_MOCK1(Cancel);
+};
+
+class MockAdmission
+  : public Service
+  , public trompeloeil::mock_interface<Admission>
+{
+public:
+  IMPLEMENT_MOCK2(Serve);
+  IMPLEMENT_MOCK1(Cancel);
+  IMPLEMENT_MOCK1(Drain);
+};
+
+/// A configuration that a test sets; not a mock, since nearly every call reads it.
+class FakeReleases
+  : public Service
+  , public Releases
+{
+public:
+  FakeReleases() { Set(Configuration()); }
+
+  void Set(const Configuration& aConfiguration)
+  {
+    current_ = std::make_shared<Configuration>(aConfiguration);
+    routes_ = std::make_shared<RouteTable>(current_);
+    for (const auto& listener : listeners_) {
+      listener();
+    }
+  }
+
+  const ConfigurationPtr& Current() const override { return current_; }
+  const std::string& CurrentHash() const override { return hash_; }
+  std::shared_ptr<const RouteTable> Routes() const override { return routes_; }
+  absl::Status Offer(const std::vector<Entry>& /* aEntries */) override { return absl::OkStatus(); }
+  absl::Status OfferSnapshot(const Configuration& /* aConfiguration */,
+                             const std::string& /* aHash */) override
+  {
+    return absl::OkStatus();
+  }
+  std::optional<std::vector<Entry>> EntriesAfter(Version /* aVersion */) const override
+  {
+    return std::nullopt;
+  }
+  void AddListener(std::function<void()> aOnVersion) override
+  {
+    listeners_.push_back(std::move(aOnVersion));
+  }
+
+private:
+  ConfigurationPtr current_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::string hash_;
+  std::vector<std::function<void()>> listeners_;
+};
+
+/// Members that a test sets.
+class FakeMembership
+  : public Service
+  , public Membership
+{
+public:
+  explicit FakeMembership(const Member& aSelf)
+    : selfId_(aSelf.id)
+  {
+    table.Merge(aSelf);
+  }
+
+  MemberTable table;
+  bool isFenced = false;
+
+  const MemberTable& Table() const override { return table; }
+  const Member& Self() const override { return *table.Find(selfId_); }
+  bool IsReady() const override { return true; }
+  bool IsFenced(TimePoint /* aNow */) const override { return isFenced; }
+  std::vector<const Member*> CountedInZone(TimePoint /* aNow */) const override { return {}; }
+  void OnVersionReported(const std::string& /* aMember */, Version /* aVersion */) override {}
+  void AddListener(std::function<void()> /* aOnChange */) override {}
+  void OnVersionSeen(std::function<void(const Endpoint&, Version)> /* aCallback */) override {}
+  void Leave(MemberState /* aState */) override {}
+  void MeetSeeds(const std::vector<Endpoint>& /* aSeeds */) override {}
+  void OnStoreAnswered(TimePoint /* aAskedAt */) override {}
+
+private:
+  std::string selfId_;
+};
+
+/// A node that is never behind.
+class FakeSpreading
+  : public Service
+  , public Spreading
+{
+public:
+  void AskProgress(Version /* aVersion */, OnProgress /* aDone */) override {}
+  void Require(Version /* aVersion */) override {}
+  void HandOver(const Entry& /* aEntry */) override {}
+  bool IsBehind() const override { return false; }
+};
+
+inline Member MakeMember(const std::string& aId, const std::string& aService, uint16_t aPort)
+{
+  Member member;
+  member.id = aId;
+  member.region = "east";
+  member.zone = "east-0";
+  member.service = aService;
+  member.endpoint = Endpoint{ "10.0.0.1", aPort };
+  member.farEndpoint = member.endpoint;
+  member.incarnation = 1;
+  return member;
+}
+
+} // namespace dandelion::testing
+
+#endif
--- a/tools/LinkStandin.cpp
+++ b/tools/LinkStandin.cpp
@@ -5,6 +5,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,6 +27,13 @@
   return address;
 }
 
+/// The stand-in must add the delay that it is told, not that of two waiting ends.
+void DisableNagle(int aSocket)
+{
+  int enabled = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
 std::string Reverse(const std::string& aDirection)
 {
   return aDirection + "-back";
@@ -45,6 +54,8 @@
     far_ = Make(-1);
     sockaddr_in address = ToAddress(aMapping.to);
     bufferevent_socket_connect(far_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    DisableNagle(bufferevent_getfd(near_));
+    DisableNagle(bufferevent_getfd(far_));
   }
 
   ~TcpForward()
--- a/tools/StoreStandin.cpp
+++ b/tools/StoreStandin.cpp
@@ -80,7 +80,13 @@
     return;
   }
   if (aExchange->Request().target == "/stats") {
-    Json stats = { { "calls", calls_ }, { "by_path", callsByPath_ }, { "created", created_ } };
+    auto isNote = [](const auto& aItem) {
+      return absl::StartsWith(aItem.first, "dandelion/notes/");
+    };
+    Json stats = { { "calls", calls_ },
+                   { "by_path", callsByPath_ },
+                   { "created", created_ },
+                   { "notes", std::count_if(items_.begin(), items_.end(), isNote) } };
     aExchange->Reply(HttpResponse{ 200, {}, stats.dump() });
     return;
   }
