Joining nodes do not wait for members that are gone

Cause: a joining node counted every member it was told of, also those gone or since found gone, among the peers it wanted an answer from. Ruled out: the pull of the version, which had arrived (log). Change: the peers that may answer are worked out anew at each round; the slot's incarnation in the answer was not used and is gone.

--- a/src/dandeliond/MembershipService.cpp
+++ b/src/dandeliond/MembershipService.cpp
@@ -74,7 +74,6 @@
   });
   knownSeeds_.insert(context_.settings.seeds.begin(), context_.settings.seeds.end());
   knownSeeds_.erase(context_.settings.peers);
-  joining_.OnPeersKnown(knownSeeds_.size());
   ReadHead();
   AskPeers();
   Tick();
@@ -172,7 +171,6 @@
   const Member* slot = prober_.Table().Find(aQuery.slot);
   if (slot != nullptr && slot->id != context_.settings.id) {
     answer.slotVersion = slot->version;
-    answer.slotIncarnation = slot->incarnation;
   }
   for (const auto& [id, member] : prober_.Table().All()) {
     bool isUnannounced = id == context_.settings.id && !isReady_;
@@ -190,8 +188,6 @@
     return;
   }
   joining_.OnAnswer(aAnswer);
-  size_t readyPeers = prober_.Table().All().size() - 1;
-  joining_.OnPeersKnown(readyPeers);
   AskPeers();
   TryToFinishJoining();
 }
@@ -219,12 +215,9 @@
   if (isReady_) {
     return;
   }
-  std::vector<Endpoint> peers(knownSeeds_.begin(), knownSeeds_.end());
-  for (const auto& [id, member] : prober_.Table().All()) {
-    if (id != context_.settings.id && TakesWork(member)) {
-      peers.push_back(EndpointFrom(context_.settings.region, member));
-    }
-  }
+  std::set<Endpoint> known = KnownPeers();
+  joining_.OnPeersKnown(known.size());
+  std::vector<Endpoint> peers(known.begin(), known.end());
   std::shuffle(peers.begin(), peers.end(), random_);
   size_t askedNow = 0;
   for (const Endpoint& peer : peers) {
@@ -240,6 +233,22 @@
   askTimer_ = context_.loop.After(kAskPeriod, [this] { AskPeers(); });
 }
 
+std::set<Endpoint> MembershipService::KnownPeers() const
+{
+  std::set<Endpoint> peers = knownSeeds_;
+  for (const auto& [id, member] : prober_.Table().All()) {
+    const Endpoint& endpoint = EndpointFrom(context_.settings.region, member);
+    bool canAnswer = id != context_.settings.id && TakesWork(member);
+    // Members that are gone cannot answer, so they are not waited for.
+    if (canAnswer) {
+      peers.insert(endpoint);
+    } else {
+      peers.erase(endpoint);
+    }
+  }
+  return peers;
+}
+
 void MembershipService::TryToFinishJoining()
 {
   if (isReady_) {
@@ -296,7 +305,6 @@
     }
   }
   if (!isReady_) {
-    joining_.OnPeersKnown(knownSeeds_.size());
     AskPeers();
   }
 }
--- a/src/dandeliond/MembershipService.h
+++ b/src/dandeliond/MembershipService.h
@@ -51,6 +51,8 @@
   void OnJoinQuery(LinkId aLink, const JoinQuery& aQuery);
   void OnJoinAnswer(const JoinAnswer& aAnswer);
   void ReadHead();
+  /// Seeds and members that may answer.
+  std::set<Endpoint> KnownPeers() const;
   void AskPeers();
   void TryToFinishJoining();
   void Announce();
--- a/src/spread/Joining.cpp
+++ b/src/spread/Joining.cpp
@@ -16,7 +16,6 @@
 
 void Joining::OnAnswer(const JoinAnswer& aAnswer)
 {
-  slotIncarnation_ = std::max(slotIncarnation_, aAnswer.slotIncarnation);
   highest_ = std::max({ highest_, aAnswer.version, aAnswer.slotVersion });
   if (aAnswer.isReady) {
     answered_.insert(aAnswer.sender);
@@ -25,7 +24,7 @@
 
 void Joining::OnPeersKnown(size_t aCount)
 {
-  peersKnown_ = std::max(peersKnown_, aCount);
+  peersKnown_ = aCount;
 }
 
 std::optional<Version> Joining::RequiredVersion(TimePoint aNow) const
--- a/src/spread/Joining.h
+++ b/src/spread/Joining.h
@@ -26,9 +26,8 @@
   /// The peer serves; a peer that joins itself knows no version to go by.
   bool isReady = false;
   Version version = 0;
-  /// What the peer remembers of the slot: highest version and incarnation.
+  /// Highest version that the peer remembers of the slot.
   Version slotVersion = 0;
-  uint64_t slotIncarnation = 0;
   std::vector<Member> records;
 };
 
@@ -39,7 +38,6 @@
   aVisitor.Field("is_ready", aAnswer.isReady);
   aVisitor.Field("version", aAnswer.version);
   aVisitor.Field("slot_version", aAnswer.slotVersion);
-  aVisitor.Field("slot_incarnation", aAnswer.slotIncarnation);
   aVisitor.Field("records", aAnswer.records);
 }
 
@@ -50,22 +48,18 @@
 
   void OnStoreHead(Version aHead);
   void OnAnswer(const JoinAnswer& aAnswer);
-  /// Peers that could be asked, as far as seeds and answers have told.
+  /// Peers that may answer, as far as seeds and answers have told by now.
   void OnPeersKnown(size_t aCount);
 
   /// The version to hold before serving, once enough has been heard.
   std::optional<Version> RequiredVersion(TimePoint aNow) const;
 
-  /// Highest incarnation that a peer remembers of the slot.
-  uint64_t SlotIncarnation() const { return slotIncarnation_; }
-
 private:
   TimePoint began_;
   std::optional<Version> storeHead_;
   std::set<std::string> answered_;
   size_t peersKnown_ = 0;
   Version highest_ = 0;
-  uint64_t slotIncarnation_ = 0;
 };
 
 } // namespace dandelion
--- a/test/process/NodesDieInHerds.cpp
+++ b/test/process/NodesDieInHerds.cpp
@@ -75,6 +75,22 @@
   }
 }
 
+Test(herd, does_not_wait_for_members_that_are_gone)
+{
+  Cluster cluster(ClusterShape{ 4, 1 });
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(0, "first"));
+  cluster.Kill(2);
+  cluster.Kill(3);
+  cr_assert(cluster.WaitUntil([&] { return cluster.AliveSeenBy(0) == 2; }));
+  cr_assert(cluster.WaitUntil([&] { return cluster.AliveSeenBy(1) == 2; }));
+  cluster.SetStoreFaults(R"({"down": true})");
+  // Two peers are left of three; the third is known to be gone.
+  cluster.Restart(2);
+  cr_assert(ComesBackAtLeastAt(cluster, 2, 1));
+}
+
 Test(herd, of_all_nodes_serves_nothing_before_it_knows_its_version)
 {
   Cluster cluster(ClusterShape{ 4 });
