--- a/src/admission/SlotQueue.cpp
+++ b/src/admission/SlotQueue.cpp
@@ -209,7 +209,8 @@
     case TrafficClass::Bulk:
       return mostLong;
     case TrafficClass::Background:
-      return std::max<int64_t>(1, mostLong / 2);
+      // One long slot is kept for bulk, so that background work never fills them all.
+      return std::max<int64_t>(1, mostLong - 1);
   }
   return slots_;
 }
