Calls on behalf of calls share the first one's limits

Cause: at 29 deep each level repeated a refusal by itself, and each took its own route's time and class. Repeats multiply, deep work outlives its caller, and a report's checks fill the short slots. Change: deadline, class and repeats travel in headers that upstreams pass on; a refusal that was repeated says so, and the levels above leave it. Unreadable limits are refused by name. Headers about one hop no longer pass: an upstream's own `dandelion-outcome` used to stand before ours on answers. The upstream's stand-in can call on, for tests and `bench_Calls chain`. Upstreams that drop the headers fall back to each node's own budget.

--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -122,6 +122,7 @@
   }
   CallReply reply;
   reply.outcome = aResult.outcome;
+  reply.isRetried = aResult.isRetried;
   reply.status = aResult.status;
   reply.headers = aResult.headers;
   reply.body.data = aResult.body;
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -60,7 +60,7 @@
              nullptr,
              {},
              now,
-             now,
+             {},
              Attempts(false, 1, now),
              {},
              {},
@@ -74,10 +74,10 @@
     return id;
   }
   const PolicySpec& policy = *call.route.policy;
-  Duration timeLimit = milliseconds(policy.timeoutMs);
-  call.deadline = now + timeLimit;
-  call.attempts = Attempts(IsIdempotent(call.request, policy), policy.attempts, call.deadline);
-  call.limit = context_.loop.After(timeLimit, [this, id] { OnDeadline(id); });
+  call.limits = LimitsFor(policy, call.request.limits, now);
+  call.attempts =
+    Attempts(IsIdempotent(call.request, policy), call.limits.attempts, call.limits.deadline);
+  call.limit = context_.loop.After(call.limits.deadline - now, [this, id] { OnDeadline(id); });
   calls_.emplace(id, std::move(call));
   PlanHedge(id);
   TryNext(id);
@@ -139,7 +139,7 @@
 {
   Call& call = calls_.at(aId);
   AttemptId id = nextAttempt_++;
-  metrics_->Count(CounterName::Attempts, ClassLabel(call.route.policy->trafficClass));
+  metrics_->Count(CounterName::Attempts, ClassLabel(call.limits.trafficClass));
   Attempt& attempt = call.open[id];
   attempt.member = aMember.id;
   attempt.sentAt = context_.loop.Now();
@@ -152,7 +152,7 @@
     return;
   }
   const Endpoint& endpoint = EndpointFrom(context_.settings.region, aMember);
-  attempt.link = links_->Open(endpoint, LaneFor(call.route.policy->trafficClass));
+  attempt.link = links_->Open(endpoint, LaneFor(call.limits.trafficClass));
   links_->AwaitAnswer(*attempt.link);
   links_->Send(*attempt.link, open);
 }
@@ -179,8 +179,10 @@
   open.version = aCall.routes->Source().version;
   open.route = aCall.route.route->name;
   open.service = aCall.route.service->name;
-  open.trafficClass = aCall.route.policy->trafficClass;
-  open.deadlineMs = std::max<int64_t>(1, ToMilliseconds(aCall.deadline - context_.loop.Now()));
+  open.trafficClass = aCall.limits.trafficClass;
+  open.deadlineMs =
+    std::max<int64_t>(1, ToMilliseconds(aCall.limits.deadline - context_.loop.Now()));
+  open.repeatsLeft = aCall.attempts.RepeatsLeft();
   open.method = aCall.request.method;
   open.target = aCall.request.target;
   open.headers = aCall.request.headers;
@@ -193,7 +195,7 @@
   Call& call = calls_.at(aId);
   const PolicySpec& policy = *call.route.policy;
   std::optional<Duration> delay = hedging_.DelayFor(
-    call.route.service->name, policy.trafficClass, IsIdempotent(call.request, policy));
+    call.route.service->name, call.limits.trafficClass, IsIdempotent(call.request, policy));
   if (delay.has_value()) {
     call.hedge = context_.loop.After(*delay, [this, aId] { Hedge(aId); });
   }
@@ -206,7 +208,7 @@
   bool isFirst = call.open.size() == 1 && call.tried.size() == 1;
   const Member* member = isFirst ? ChooseFor(call) : nullptr;
   if (member != nullptr && hedging_.Spend()) {
-    metrics_->Count(CounterName::Hedges, ClassLabel(call.route.policy->trafficClass));
+    metrics_->Count(CounterName::Hedges, ClassLabel(call.limits.trafficClass));
     SendAttempt(aId, *member);
   }
 }
@@ -263,7 +265,8 @@
   byAttempt_.erase(found);
   Call& call = calls_.at(id);
   EndAttempt(call, aAttempt, aReply);
-  NextStep next = call.attempts.OnEnded(aReply.outcome, budget_, context_.loop.Now());
+  NextStep next = call.attempts.OnEnded(
+    AttemptEnd{ aReply.outcome, aReply.isRetried }, budget_, context_.loop.Now());
   if (aReply.outcome != CallOutcome::Ran && !call.open.empty()) {
     // The other attempt of a hedged call may still answer.
     return;
@@ -272,7 +275,7 @@
     Answer(id, AnswerFromReply(call, aReply));
     return;
   }
-  metrics_->Count(CounterName::Retries, ClassLabel(call.route.policy->trafficClass));
+  metrics_->Count(CounterName::Retries, ClassLabel(call.limits.trafficClass));
   if (aReply.error == ErrorKind::Withdrawn) {
     RouteAnew(id, kMostCatchUpSteps);
   } else {
@@ -359,7 +362,7 @@
   calls_.erase(found);
   DropAttempts(call);
   Duration taken = context_.loop.Now() - call.beganAt;
-  MetricLabel label = ClassLabel(call.route.policy->trafficClass);
+  MetricLabel label = ClassLabel(call.limits.trafficClass);
   metrics_->Observe(HistogramName::CallTime, label, taken);
   metrics_->Count(CounterName::CallsAnswered,
                   fmt::format("{},outcome=\"{}\"", label, NameOf(aAnswer.outcome)));
@@ -373,6 +376,7 @@
 {
   CallerAnswer answer;
   answer.outcome = aCall.attempts.Combined();
+  answer.isRetried = aCall.attempts.IsRetried();
   answer.status = aReply.status;
   answer.headers = aReply.headers;
   answer.body = aReply.body.data;
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -45,7 +45,7 @@
     std::shared_ptr<const RouteTable> routes;
     ResolvedRoute route;
     TimePoint beganAt;
-    TimePoint deadline;
+    CallLimits limits;
     Attempts attempts;
     std::set<std::string> tried;
     std::map<AttemptId, Attempt> open;
--- a/src/dandeliond/FrontService.cpp
+++ b/src/dandeliond/FrontService.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-/// Name of the error kind, on answers that no upstream gave.
-constexpr char kErrorHeader[] = "dandelion-error";
-
 CallerRequest ToCallerRequest(const HttpRequest& aRequest)
 {
   CallerRequest request;
@@ -34,6 +31,9 @@
   ErrorKind kind = aAnswer.error.value_or(ErrorKind::Internal);
   response.status = AnswerFor(kind).httpStatus;
   response.headers.emplace_back(kErrorHeader, std::string(NameOf(kind)));
+  if (aAnswer.isRetried) {
+    response.headers.emplace_back(kRetriedHeader, "yes");
+  }
   response.headers.emplace_back("Content-Type", "text/plain");
   response.body = aAnswer.reason + "\n";
   return response;
@@ -56,10 +56,20 @@
 
 void FrontService::OnRequest(std::shared_ptr<HttpExchange> aExchange)
 {
+  CallerRequest request = ToCallerRequest(aExchange->Request());
+  auto limits = ReadLimits(aExchange->Request().headers);
+  if (!limits.ok()) {
+    CallerAnswer refusal;
+    refusal.error = KindOf(limits.status());
+    refusal.reason = Reason(limits.status());
+    aExchange->Reply(ToHttpResponse(refusal));
+    return;
+  }
+  request.limits = *limits;
   auto onAnswer = [aExchange](const CallerAnswer& aAnswer) {
     aExchange->Reply(ToHttpResponse(aAnswer));
   };
-  Calls::CallId id = calls_->Begin(ToCallerRequest(aExchange->Request()), onAnswer);
+  Calls::CallId id = calls_->Begin(std::move(request), onAnswer);
   aExchange->OnGone([this, id] { calls_->Cancel(id); });
 }
 
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -148,11 +148,14 @@
   std::string target;
   std::vector<HeaderField> headers;
   std::string body;
+  InheritedLimits limits;
 };
 
 struct CallerAnswer
 {
   CallOutcome outcome = CallOutcome::NotRun;
+  /// The call, or one deeper in its chain, was repeated.
+  bool isRetried = false;
   std::optional<ErrorKind> error;
   std::string reason;
   int64_t status = 0;
--- a/src/routing/Attempts.cpp
+++ b/src/routing/Attempts.cpp
@@ -25,20 +25,25 @@
 {
 }
 
-NextStep Attempts::OnEnded(CallOutcome aOutcome, RetryBudget& aBudget, TimePoint aNow)
+NextStep Attempts::OnEnded(const AttemptEnd& aEnd, RetryBudget& aBudget, TimePoint aNow)
 {
   --left_;
-  if (aOutcome == CallOutcome::Ran) {
+  isRetried_ = isRetried_ || aEnd.isRetried;
+  if (aEnd.outcome == CallOutcome::Ran) {
     combined_ = CallOutcome::Ran;
     return NextStep::Answer;
   }
-  if (aOutcome == CallOutcome::Unknown) {
+  if (aEnd.outcome == CallOutcome::Unknown) {
     // Once an attempt may have run, no later refusal makes the call "not run" again.
     combined_ = CallOutcome::Unknown;
   }
   bool isSafe = isIdempotent_ || combined_ == CallOutcome::NotRun;
-  bool mayRepeat = isSafe && left_ > 0 && aNow < deadline_ && aBudget.Spend();
-  return mayRepeat ? NextStep::TryAnother : NextStep::Answer;
+  bool mayRepeat = isSafe && !aEnd.isRetried && left_ > 0 && aNow < deadline_ && aBudget.Spend();
+  if (!mayRepeat) {
+    return NextStep::Answer;
+  }
+  isRetried_ = true;
+  return NextStep::TryAnother;
 }
 
 } // namespace dandelion
--- a/src/routing/Attempts.h
+++ b/src/routing/Attempts.h
@@ -4,6 +4,8 @@
 
 #include "routing/CallOutcome.h"
 
+#include <algorithm>
+
 namespace dandelion {
 
 /// Bounds the share of attempts that are repeats, so that failures do not multiply load.
@@ -28,6 +30,14 @@
   Answer,
 };
 
+/// How an attempt ended.
+struct AttemptEnd
+{
+  CallOutcome outcome = CallOutcome::Unknown;
+  /// A node deeper in the chain of calls has repeated in vain already.
+  bool isRetried = false;
+};
+
 /// The attempts of one call.
 class Attempts
 {
@@ -36,8 +46,15 @@
   Attempts(bool aIsIdempotent, int64_t aMost, TimePoint aDeadline);
 
   /// What to do after an attempt. After `Unknown` only an idempotent call may be sent again;
-  /// `Ran` ends the call.
-  NextStep OnEnded(CallOutcome aOutcome, RetryBudget& aBudget, TimePoint aNow);
+  /// `Ran` ends the call. Only the node nearest to a refusal repeats, so that the repeats of a
+  /// chain of calls do not multiply.
+  NextStep OnEnded(const AttemptEnd& aEnd, RetryBudget& aBudget, TimePoint aNow);
+
+  /// Repeats that calls further down the chain may make.
+  int64_t RepeatsLeft() const { return std::max<int64_t>(0, left_ - 1); }
+
+  /// Whether the answer must tell the calls above that repeats were made.
+  bool IsRetried() const { return isRetried_; }
 
   /// Outcome of the call as a whole: `NotRun` only if no attempt may have run.
   CallOutcome Combined() const { return combined_; }
@@ -46,6 +63,7 @@
   bool isIdempotent_;
   int64_t left_;
   TimePoint deadline_;
+  bool isRetried_ = false;
   CallOutcome combined_ = CallOutcome::NotRun;
 };
 
--- a/src/routing/Routing.h
+++ b/src/routing/Routing.h
@@ -4,6 +4,7 @@
 #define DANDELION_ROUTING_ROUTING_H
 
 #include "routing/Attempts.h"
+#include "routing/CallChain.h"
 #include "routing/CallOutcome.h"
 #include "routing/Hedging.h"
 #include "routing/RouteTable.h"
--- a/src/wire/HttpUpstream.cpp
+++ b/src/wire/HttpUpstream.cpp
@@ -1,5 +1,7 @@
 #include "wire/HttpUpstream.h"
 
+#include "wire/CallHeaders.h"
+
 #include <algorithm>
 #include <array>
 
@@ -14,10 +16,11 @@
   "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te",
 };
 
-bool IsHopHeader(const std::string& aName)
+bool IsPassedOn(const std::string& aName)
 {
   auto isSame = [&](const char* aHop) { return strcasecmp(aHop, aName.c_str()) == 0; };
-  return std::any_of(kHopHeaders.begin(), kHopHeaders.end(), isSame);
+  bool isHopHeader = std::any_of(kHopHeaders.begin(), kHopHeaders.end(), isSame);
+  return !isHopHeader && !IsCallHeader(aName);
 }
 
 UpstreamResult ToUpstreamResult(const HttpResult& aResult)
@@ -36,9 +39,10 @@
   bool isRefusal =
     FindHeader(aResult.response.headers, kOutcomeHeader) == NameOf(CallOutcome::NotRun);
   result.outcome = isRefusal ? CallOutcome::NotRun : CallOutcome::Ran;
+  result.isRetried = !FindHeader(aResult.response.headers, kRetriedHeader).empty();
   result.status = aResult.response.status;
   for (const auto& [name, value] : aResult.response.headers) {
-    if (!IsHopHeader(name)) {
+    if (IsPassedOn(name)) {
       result.headers.push_back({ name, value });
     }
   }
@@ -61,11 +65,13 @@
   request.target = aCall.target;
   request.body = aCall.body.data;
   for (const HeaderField& header : aCall.headers) {
-    if (!IsHopHeader(header.name) && strcasecmp(header.name.c_str(), kDeadlineHeader) != 0) {
+    if (IsPassedOn(header.name)) {
       request.headers.emplace_back(header.name, header.value);
     }
   }
-  request.headers.emplace_back(kDeadlineHeader, std::to_string(aCall.deadlineMs));
+  for (auto& header : MakeLimitHeaders(aCall)) {
+    request.headers.push_back(std::move(header));
+  }
   auto onResult = [done = std::move(aOnResult)](const HttpResult& aResult) {
     done(ToUpstreamResult(aResult));
   };
--- a/src/wire/HttpUpstream.h
+++ b/src/wire/HttpUpstream.h
@@ -7,11 +7,6 @@
 
 namespace dandelion {
 
-/// Set by an upstream to `not-run` on a refusal: it has not begun the work.
-constexpr char kOutcomeHeader[] = "dandelion-outcome";
-/// What is left of the caller's time, in milliseconds; set on calls to upstreams.
-constexpr char kDeadlineHeader[] = "dandelion-deadline-ms";
-
 class HttpUpstream
   : public Service
   , public Upstream
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -92,6 +92,8 @@
   TrafficClass trafficClass = TrafficClass::Interactive;
   /// What is left of the caller's time.
   int64_t deadlineMs = 0;
+  /// Repeats that calls made on behalf of this one may make.
+  int64_t repeatsLeft = 0;
   std::string method;
   std::string target;
   std::vector<HeaderField> headers;
@@ -104,6 +106,8 @@
   CallOutcome outcome = CallOutcome::Unknown;
   /// Why the call has no answer of the upstream, where it has none.
   std::optional<ErrorKind> error;
+  /// Calls deeper in the chain were repeated in vain.
+  bool isRetried = false;
   int64_t status = 0;
   std::vector<HeaderField> headers;
   Bytes body;
@@ -214,6 +218,7 @@
   aVisitor.Field("service", aCall.service);
   aVisitor.Field("class", aCall.trafficClass);
   aVisitor.Field("deadline_ms", aCall.deadlineMs);
+  aVisitor.Field("repeats_left", aCall.repeatsLeft);
   aVisitor.Field("method", aCall.method);
   aVisitor.Field("target", aCall.target);
   aVisitor.Field("headers", aCall.headers);
@@ -226,6 +231,7 @@
   aVisitor.Field("id", aReply.id);
   aVisitor.Field("outcome", aReply.outcome);
   aVisitor.Field("error", aReply.error);
+  aVisitor.Field("retried", aReply.isRetried);
   aVisitor.Field("status", aReply.status);
   aVisitor.Field("headers", aReply.headers);
   aVisitor.Field("body", aReply.body);
--- a/src/wire/Upstream.h
+++ b/src/wire/Upstream.h
@@ -12,6 +12,8 @@
 struct UpstreamResult
 {
   CallOutcome outcome = CallOutcome::Unknown;
+  /// Calls that the upstream made for this one were repeated in vain.
+  bool isRetried = false;
   int status = 0;
   std::vector<HeaderField> headers;
   std::string body;
--- a/test/correctness/CallersNodeRepeatsSafely.cpp
+++ b/test/correctness/CallersNodeRepeatsSafely.cpp
@@ -44,18 +44,19 @@
 
   void Begin(const std::string& aMethod)
   {
-    calls->Begin(CallerRequest{ aMethod, "/r0/x", {}, "" },
+    calls->Begin(CallerRequest{ aMethod, "/r0/x", {}, "", limits },
                  [this](const CallerAnswer& aAnswer) { answers.push_back(aAnswer); });
   }
 
   /// Ends the newest attempt with an outcome.
-  void Reply(CallOutcome aOutcome, std::optional<ErrorKind> aError)
+  void Reply(CallOutcome aOutcome, std::optional<ErrorKind> aError, bool aIsRetried = false)
   {
     auto [link, message] = sent.back();
     CallReply reply;
     reply.id = std::get<OpenCall>(message).id;
     reply.outcome = aOutcome;
     reply.error = aError;
+    reply.isRetried = aIsRetried;
     reply.status = 200;
     calls->OnLinkMessage(link, reply);
   }
@@ -67,6 +68,7 @@
   FakeReleases* releases = nullptr;
   MockLinks* links = nullptr;
   CallsService* calls = nullptr;
+  InheritedLimits limits;
   std::vector<std::pair<LinkId, LinkMessage>> sent;
   std::vector<CallerAnswer> answers;
   std::vector<std::unique_ptr<trompeloeil::expectation>> expectations;
@@ -141,3 +143,28 @@
   cr_assert(bench.answers[0].outcome == CallOutcome::NotRun);
   cr_assert(bench.answers[0].error == ErrorKind::NoRoute);
 }
+
+Test(callers_node, leaves_repeats_to_the_node_nearest_to_a_refusal)
+{
+  Bench bench;
+  bench.Begin("GET");
+  bench.Reply(CallOutcome::NotRun, ErrorKind::Overloaded, true);
+  cr_assert_eq(bench.sent.size(), 1);
+  cr_assert(bench.answers.at(0).outcome == CallOutcome::NotRun);
+  cr_assert(bench.answers.at(0).isRetried);
+}
+
+Test(callers_node, hands_down_what_is_left_of_the_limits)
+{
+  Bench bench;
+  bench.limits = InheritedLimits{ milliseconds(900), TrafficClass::Background, 1 };
+  bench.Begin("GET");
+  const auto& first = std::get<OpenCall>(bench.sent.at(0).second);
+  cr_assert_leq(first.deadlineMs, 900);
+  cr_assert_eq(first.repeatsLeft, 1);
+  cr_assert(first.trafficClass == TrafficClass::Background);
+  bench.Reply(CallOutcome::NotRun, ErrorKind::Overloaded);
+  cr_assert_eq(std::get<OpenCall>(bench.sent.at(1).second).repeatsLeft, 0);
+  bench.Reply(CallOutcome::NotRun, ErrorKind::Overloaded);
+  cr_assert_eq(bench.sent.size(), 2);
+}
--- a/test/correctness/UpstreamsNodeGuardsItsUpstream.cpp
+++ b/test/correctness/UpstreamsNodeGuardsItsUpstream.cpp
@@ -102,7 +102,7 @@
   bench.Serve(bench.MakeCall(2, 1));
   cr_assert(bench.replies.empty());
   bench.releases->Set(bench.WithoutRoute());
-  finish(UpstreamResult{ CallOutcome::Ran, 200, {}, "" });
+  finish(UpstreamResult{ CallOutcome::Ran, false, 200, {}, "" });
   cr_assert(bench.replies.at(1).outcome == CallOutcome::Ran);
   cr_assert(bench.replies.at(2).outcome == CallOutcome::NotRun);
 }
--- a/test/performance/Calls.cpp
+++ b/test/performance/Calls.cpp
@@ -3,6 +3,8 @@
 #include "LoadGenerator.h"
 #include "support/Cluster.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstdlib>
 
 using namespace dandelion;
@@ -127,6 +129,41 @@
   }
 }
 
+/// Time of a chain of calls, each upstream calling on through its own node, against its depth.
+void ChainedCalls()
+{
+  constexpr int kCalls = 40;
+  ClusterShape shape{ 8 };
+  shape.upstreamSlots = 64;
+  shape.workMs = 0;
+  Cluster cluster(shape);
+  if (!StartWith(cluster, cluster.FirstNote())) {
+    return;
+  }
+  for (int depth : { 1, 2, 8, 29 }) {
+    std::string chain;
+    for (int i = 1; i < depth; ++i) {
+      chain += fmt::format("{}s{}", chain.empty() ? "" : ",", i % 2);
+    }
+    std::vector<double> times;
+    int whole = 0;
+    for (int i = 0; i < kCalls; ++i) {
+      auto began = std::chrono::steady_clock::now();
+      CallResult call = cluster.Call(0, "GET", "/s0/x", "chained", { { "x-chain", chain } });
+      std::chrono::duration<double, std::milli> taken = std::chrono::steady_clock::now() - began;
+      times.push_back(taken.count());
+      whole += call.outcome == "ran" && call.callId == "chained" ? 1 : 0;
+    }
+    std::sort(times.begin(), times.end());
+    fmt::print("chain: {:2} deep: {} of {} whole, median {:.2f} ms, slowest {:.2f} ms\n",
+               depth,
+               whole,
+               kCalls,
+               times[times.size() / 2],
+               times.back());
+  }
+}
+
 void Crest()
 {
   constexpr int kUpstreams = 4;
@@ -335,6 +372,7 @@
     }
   };
   run("added", AddedTime);
+  run("chain", ChainedCalls);
   run("crest", Crest);
   run("link", ShortBehindLong);
   run("slots", ShortBehindLongSlots);
--- /dev/null
+++ b/test/process/ChainsKeepTheirLimits.cpp
@@ -0,0 +1,72 @@
+/// Calls that upstreams make on behalf of other calls share the limits of the first one.
+#include "support/Check.h"
+#include "support/Cluster.h"
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+/// "s1,s0,s1,...", so that with the first call to s0 a chain of this depth arises.
+std::string ChainOfDepth(int aDepth)
+{
+  std::string chain;
+  for (int i = 1; i < aDepth; ++i) {
+    chain += fmt::format("{}s{}", chain.empty() ? "" : ",", i % 2);
+  }
+  return chain;
+}
+
+} // namespace
+
+Test(chains, of_29_calls_are_answered_whole)
+{
+  ClusterShape shape{ 8 };
+  shape.upstreamSlots = 64;
+  Cluster cluster(shape);
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(0, "first"));
+  CallResult call = cluster.Call(0, "GET", "/s0/x", "deep", { { "x-chain", ChainOfDepth(29) } });
+  cr_assert_eq(call.outcome, "ran", "%s %s", call.outcome.c_str(), call.error.c_str());
+  cr_assert_eq(call.callId, "deep");
+  size_t begun = 0;
+  for (int i = 0; i < cluster.Size(); ++i) {
+    begun += cluster.JournalOf(i).size();
+  }
+  cr_assert_eq(begun, 29);
+}
+
+Test(chains, repeat_a_refusal_at_one_level_only)
+{
+  ClusterShape shape{ 8 };
+  shape.upstreamSlots = 64;
+  Cluster cluster(shape);
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(0, "first"));
+  // The chain ends at a service that has no route, behind four calls that ran up to there.
+  HttpHeaders headers = { { "x-chain", "s1,s0,s1,nowhere" } };
+  CallResult call = cluster.Call(0, "GET", "/s0/x", "refused", headers);
+  cr_assert_eq(call.outcome, "not-run");
+  size_t begun = 0;
+  for (int i = 0; i < cluster.Size(); ++i) {
+    begun += cluster.JournalOf(i).size();
+  }
+  // Only the level nearest to the refusal makes more than one attempt.
+  cr_assert_leq(begun, 3 + PolicySpec().attempts);
+}
+
+Test(chains, refuse_limits_that_cannot_be_read)
+{
+  Cluster cluster(ClusterShape{ 4 });
+  cluster.Start();
+  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.WaitInForce(0, "first"));
+  CallResult call = cluster.Call(0, "GET", "/s0/x", "", { { "dandelion-deadline-ms", "soon" } });
+  cr_assert_eq(call.status, 400);
+  cr_assert_eq(call.outcome, "not-run");
+  cr_assert(call.body.find("dandelion-deadline-ms") != std::string::npos);
+  call = cluster.Call(0, "GET", "/s0/x", "", { { "dandelion-class", "royal" } });
+  cr_assert_eq(call.error, "usage");
+}
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -102,6 +102,7 @@
               { "upstream_standin",
                 "--ip=" + IpOf(i),
                 "--port=8080",
+                "--front_port=7001",
                 "--name=" + IdOf(i),
                 fmt::format("--slots={}", shape_.upstreamSlots),
                 fmt::format("--work_ms={}", shape_.workMs) });
--- a/tools/UpstreamStandin.cpp
+++ b/tools/UpstreamStandin.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// The services that are still to be called, one on behalf of the other: "s1,s0".
+constexpr char kChainHeader[] = "x-chain";
+constexpr Duration kOnwardLimit = seconds(60);
+constexpr int kBadGateway = 502;
 constexpr int64_t kMostAnswerBytes = 16 * 1024 * 1024;
 
 int64_t IntegerHeader(const HttpRequest& aRequest, const char* aName, int64_t aDefault)
@@ -21,6 +25,7 @@
   : loop_(aLoop)
   , listen_(aListen)
   , traits_(std::move(aTraits))
+  , client_(aLoop)
   , server_(aLoop, [this](const Exchange& aExchange) { OnRequest(aExchange); })
 {
 }
@@ -51,8 +56,21 @@
   uint64_t id = nextId_++;
   Duration work =
     milliseconds(IntegerHeader(request, "x-work-ms", traits_.workMs) * traits_.slowness);
-  running_[id] = Running{ aExchange, loop_.After(work, [this, id] { Finish(id); }) };
-  aExchange->OnGone([this, id] { cancelled_ += static_cast<int64_t>(running_.erase(id)); });
+  running_[id] = Running{ aExchange, loop_.After(work, [this, id] { Finish(id); }), std::nullopt };
+  aExchange->OnGone([this, id] { Cancel(id); });
+}
+
+void UpstreamStandin::Cancel(uint64_t aId)
+{
+  auto found = running_.find(aId);
+  if (found == running_.end()) {
+    return;
+  }
+  if (found->second.onward.has_value()) {
+    client_.Cancel(*found->second.onward);
+  }
+  running_.erase(found);
+  ++cancelled_;
 }
 
 void UpstreamStandin::OnControl(const Exchange& aExchange)
@@ -64,6 +82,7 @@
     return;
   }
   traits->name = traits_.name;
+  traits->front = traits_.front;
   traits_ = *traits;
   aExchange->Reply(HttpResponse{ 200, {}, "{}" });
 }
@@ -71,10 +90,46 @@
 void UpstreamStandin::Finish(uint64_t aId)
 {
   Exchange exchange = running_.at(aId).exchange;
+  std::string chain = FindHeader(exchange->Request().headers, kChainHeader);
+  if (!chain.empty() && traits_.front.has_value()) {
+    CallOn(aId, chain);
+    return;
+  }
   running_.erase(aId);
   exchange->Reply(AnswerTo(exchange->Request()));
 }
 
+void UpstreamStandin::CallOn(uint64_t aId, const std::string& aChain)
+{
+  const HttpRequest& request = running_.at(aId).exchange->Request();
+  size_t comma = aChain.find(',');
+  std::string rest = comma == std::string::npos ? "" : aChain.substr(comma + 1);
+  HttpRequest onward{ "GET", "/" + aChain.substr(0, comma) + "/x", {}, "" };
+  onward.headers.emplace_back("x-call-id", FindHeader(request.headers, "x-call-id"));
+  if (!rest.empty()) {
+    onward.headers.emplace_back(kChainHeader, rest);
+  }
+  for (const char* name : { kDeadlineHeader, kClassHeader, kRepeatsHeader }) {
+    onward.headers.emplace_back(name, FindHeader(request.headers, name));
+  }
+  running_.at(aId).onward =
+    client_.Send(*traits_.front, onward, kOnwardLimit, [this, aId](const HttpResult& aResult) {
+      OnAnswer(aId, aResult);
+    });
+}
+
+void UpstreamStandin::OnAnswer(uint64_t aId, const HttpResult& aResult)
+{
+  Exchange exchange = running_.at(aId).exchange;
+  running_.erase(aId);
+  // It has done nothing itself before it called on, so a refusal is passed on as one.
+  HttpResponse response = aResult.response;
+  if (aResult.outcome != HttpOutcome::Answered) {
+    response = HttpResponse{ kBadGateway, {}, "" };
+  }
+  exchange->Reply(response);
+}
+
 HttpResponse UpstreamStandin::AnswerTo(const HttpRequest& aRequest) const
 {
   int64_t size = std::min(IntegerHeader(aRequest, "x-answer-bytes", 0), kMostAnswerBytes);
--- a/tools/UpstreamStandin.h
+++ b/tools/UpstreamStandin.h
@@ -1,5 +1,6 @@
 /// A small stand-in for an upstream: slots, work that takes time, shedding, cancellation, and a
-/// journal of the calls that it began.
+/// journal of the calls that it began. On behalf of a call it may call on, down a chain of
+/// services.
 #ifndef DANDELION_TOOLS_UPSTREAM_STANDIN_H
 #define DANDELION_TOOLS_UPSTREAM_STANDIN_H
 
@@ -20,6 +21,8 @@
   int64_t workMs = 1;
   /// Work takes this many times longer.
   int64_t slowness = 1;
+  /// Where the node beside the upstream takes calls, for chains of calls.
+  std::optional<Endpoint> front;
 };
 
 template<class Visitor>
@@ -29,6 +32,7 @@
   aVisitor.OptionalField("slots", aTraits.slots, Between{ 1, 10000 });
   aVisitor.OptionalField("work_ms", aTraits.workMs, Between{ 0, 600000 });
   aVisitor.OptionalField("slowness", aTraits.slowness, Between{ 1, 1000 });
+  aVisitor.OptionalField("front", aTraits.front);
 }
 
 class UpstreamStandin
@@ -46,16 +50,22 @@
   void OnRequest(const Exchange& aExchange);
   void OnControl(const Exchange& aExchange);
   void Finish(uint64_t aId);
+  void Cancel(uint64_t aId);
+  /// Calls the next service that the `x-chain` header names, on behalf of a call.
+  void CallOn(uint64_t aId, const std::string& aChain);
+  void OnAnswer(uint64_t aId, const HttpResult& aResult);
   HttpResponse AnswerTo(const HttpRequest& aRequest) const;
 
   struct Running
   {
     Exchange exchange;
     Timer timer;
+    std::optional<HttpClient::RequestId> onward;
   };
   Loop& loop_;
   Endpoint listen_;
   UpstreamTraits traits_;
+  HttpClient client_;
   HttpServer server_;
   uint64_t nextId_ = 1;
   std::map<uint64_t, Running> running_;
--- a/tools/upstream_standin.cpp
+++ b/tools/upstream_standin.cpp
@@ -10,6 +10,7 @@
 ABSL_FLAG(uint16_t, port, 8080, "port to listen on");
 ABSL_FLAG(std::string, name, "upstream", "name given in answers");
 ABSL_FLAG(int64_t, slots, 6, "calls that run at a time");
+ABSL_FLAG(uint16_t, front_port, 0, "port on which the node beside it takes calls; 0 for none");
 ABSL_FLAG(int64_t, work_ms, 1, "time that a call takes");
 
 int main(int aCount, char** aWords)
@@ -20,6 +21,10 @@
   traits.name = absl::GetFlag(FLAGS_name);
   traits.slots = absl::GetFlag(FLAGS_slots);
   traits.workMs = absl::GetFlag(FLAGS_work_ms);
+  uint16_t frontPort = absl::GetFlag(FLAGS_front_port);
+  if (frontPort != 0) {
+    traits.front = Endpoint{ absl::GetFlag(FLAGS_ip), frontPort };
+  }
   Loop loop;
   UpstreamStandin upstream(
     loop, Endpoint{ absl::GetFlag(FLAGS_ip), absl::GetFlag(FLAGS_port) }, traits);
