Peers that cannot be reached are tried under backoff, herds let in by turns

Cause: each message to a peer that could not be reached opened a new connection at once, and a node accepted every connection of a herd in one turn of its loop. Change: exponential backoff with full jitter for each peer; within it messages come back unsent at once. At most 64 handshakes at a time, the rest wait in the listen queue. Figures: a message every millisecond for 1 s to a peer that ends each connection: at most 20 connections (asserted). Of 300 strangers that never shake hands at most 64 hold a turn, and a node that comes after them gets in.

--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -36,8 +36,9 @@
   add(ServiceName::Metrics, std::make_unique<MetricsService>());
   add(ServiceName::Store, std::make_unique<EtcdStore>(loop_, settings_.store.servers, storeLimit));
   bool cutsLargeMessages = settings_.lanes == LanesName::ByClass;
-  add(ServiceName::Links,
-      std::make_unique<WebsocketLinks>(loop_, settings_.peers, hello, cutsLargeMessages));
+  add(
+    ServiceName::Links,
+    std::make_unique<WebsocketLinks>(loop_, settings_.peers, hello, aSeed + 4, cutsLargeMessages));
   add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers));
   add(ServiceName::Upstream, std::make_unique<HttpUpstream>(loop_, settings_.upstream));
   add(ServiceName::Releases, std::make_unique<ReleasesService>());
--- /dev/null
+++ b/src/wire/ReconnectBackoff.h
@@ -0,0 +1,39 @@
+/// Decides when a peer that could not be reached may be tried again.
+#ifndef DANDELION_WIRE_RECONNECT_BACKOFF_H
+#define DANDELION_WIRE_RECONNECT_BACKOFF_H
+
+#include "membership/Membership.h"
+
+#include <map>
+#include <random>
+
+namespace dandelion {
+
+/// Exponential backoff with full jitter for each peer, so that those who lost a peer together do
+/// not come back to it together.
+class ReconnectBackoff
+{
+public:
+  explicit ReconnectBackoff(uint64_t aSeed);
+
+  bool MayTry(const Endpoint& aPeer, TimePoint aNow) const;
+  void OnFailed(const Endpoint& aPeer, TimePoint aNow);
+  void OnOpened(const Endpoint& aPeer);
+  /// Drops what is known of peers whose last failure is long past.
+  void Forget(TimePoint aNow);
+  size_t Remembered() const { return failures_.size(); }
+
+private:
+  struct Failures
+  {
+    int inARow = 0;
+    TimePoint last;
+    TimePoint nextTry;
+  };
+  std::map<Endpoint, Failures> failures_;
+  std::mt19937_64 random_;
+};
+
+} // namespace dandelion
+
+#endif
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kStaleAfter = seconds(5);
 constexpr Duration kCloseIdleAfter = seconds(60);
 constexpr int kBacklog = 1024;
+/// While so many peers shake hands, others wait in the listen queue: a herd that comes back must
+/// not keep the loop from the calls in progress.
+constexpr int kMostHandshakes = 64;
 
 } // namespace
 
@@ -56,12 +59,16 @@
     session_->Begin();
   }
 
-  void ConnectTo(const Endpoint& aPeer)
+  void SetOutgoing(const Endpoint& aPeer)
   {
     peer_ = aPeer;
     isOutgoing_ = true;
+  }
+
+  void Connect()
+  {
     MakeSocket(-1);
-    sockaddr_in address = ToSocketAddress(aPeer);
+    sockaddr_in address = ToSocketAddress(*peer_);
     bufferevent_socket_connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
   }
 
@@ -110,6 +117,9 @@
   void SetPeer(const Endpoint& aPeer) { peer_ = aPeer; }
   const std::optional<Endpoint>& Peer() const { return peer_; }
   Lane LaneOf() const { return lane_; }
+  bool IsOpen() const { return isOpen_; }
+  /// Whether a connection was begun.
+  bool IsConnecting() const { return socket_ != nullptr; }
   bool IsOutgoing() const { return isOutgoing_; }
   void Shut()
   {
@@ -144,6 +154,7 @@
   void OnOpen()
   {
     isOpen_ = true;
+    owner_.OnOpened(*this);
     if (isOutgoing_) {
       SendNow(owner_.self_);
     }
@@ -268,11 +279,16 @@
   FragmentReceiver received_;
 };
 
-WebsocketLinks::WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf, bool aCutsLargeMessages)
+WebsocketLinks::WebsocketLinks(Loop& aLoop,
+                               Endpoint aListen,
+                               Hello aSelf,
+                               uint64_t aSeed,
+                               bool aCutsLargeMessages)
   : loop_(aLoop)
   , listen_(std::move(aListen))
   , self_(std::move(aSelf))
   , cutsLargeMessages_(aCutsLargeMessages)
+  , backoff_(aSeed)
 {
 }
 
@@ -312,6 +328,7 @@
     evconnlistener_free(std::exchange(listener_, nullptr));
   }
   tick_.Cancel();
+  closing_.Cancel();
 }
 
 LinkId WebsocketLinks::Open(const Endpoint& aPeer, Lane aLane)
@@ -326,10 +343,28 @@
   auto link = std::make_unique<Link>(*this, id, aLane);
   Link& opened = *link;
   links_[id] = std::move(link);
-  opened.ConnectTo(aPeer);
+  opened.SetOutgoing(aPeer);
+  if (backoff_.MayTry(aPeer, loop_.Now())) {
+    opened.Connect();
+  } else {
+    CloseSoon(id);
+  }
   return id;
 }
 
+void WebsocketLinks::CloseSoon(LinkId aId)
+{
+  unreachable_.push_back(aId);
+  if (!closing_.IsPending()) {
+    closing_ = loop_.After(Duration::zero(), [this] {
+      closing_.Cancel();
+      for (LinkId id : std::exchange(unreachable_, {})) {
+        Close(id);
+      }
+    });
+  }
+}
+
 void WebsocketLinks::Send(LinkId aLink, const LinkMessage& aMessage)
 {
   Link* link = Find(aLink);
@@ -366,9 +401,41 @@
   auto link = std::make_unique<Link>(*this, id, Lane::Control);
   Link& accepted = *link;
   links_[id] = std::move(link);
+  CountHandshakes(1);
   accepted.AcceptOn(aSocket);
 }
 
+void WebsocketLinks::OnOpened(const Link& aLink)
+{
+  if (aLink.IsOutgoing()) {
+    backoff_.OnOpened(*aLink.Peer());
+  } else {
+    CountHandshakes(-1);
+  }
+}
+
+void WebsocketLinks::OnNeverOpened(const Link& aLink)
+{
+  if (!aLink.IsOutgoing()) {
+    CountHandshakes(-1);
+  } else if (aLink.IsConnecting()) {
+    backoff_.OnFailed(*aLink.Peer(), loop_.Now());
+  }
+}
+
+void WebsocketLinks::CountHandshakes(int aChange)
+{
+  handshakes_ += aChange;
+  if (listener_ == nullptr) {
+    return;
+  }
+  if (handshakes_ >= kMostHandshakes) {
+    evconnlistener_disable(listener_);
+  } else {
+    evconnlistener_enable(listener_);
+  }
+}
+
 void WebsocketLinks::CloseBroken(LinkId aId, const absl::Status& aWhy)
 {
   Log(LogPart::Links, LogLevel::Warning, "A link is closed: {}.", Reason(aWhy));
@@ -400,6 +467,9 @@
   }
   std::unique_ptr<Link> link = std::move(found->second);
   links_.erase(found);
+  if (!link->IsOpen()) {
+    OnNeverOpened(*link);
+  }
   if (link->IsOutgoing()) {
     byTarget_.erase(Target(*link->Peer(), link->LaneOf()));
   }
@@ -415,6 +485,7 @@
 {
   closed_.clear();
   TimePoint now = loop_.Now();
+  backoff_.Forget(now);
   std::vector<LinkId> over;
   for (auto& [id, link] : links_) {
     if (link->IsOver(now)) {
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -3,6 +3,7 @@
 #define DANDELION_WIRE_WEBSOCKET_LINKS_H
 
 #include "wire/Links.h"
+#include "wire/ReconnectBackoff.h"
 
 #include <array>
 #include <map>
@@ -20,7 +21,11 @@
 public:
   /// `aSelf` names this node and where its peers reach it. Without `aCutsLargeMessages` a large
   /// message stands before all later ones, the plain way, for comparison.
-  WebsocketLinks(Loop& aLoop, Endpoint aListen, Hello aSelf, bool aCutsLargeMessages = true);
+  WebsocketLinks(Loop& aLoop,
+                 Endpoint aListen,
+                 Hello aSelf,
+                 uint64_t aSeed,
+                 bool aCutsLargeMessages = true);
   ~WebsocketLinks() override;
 
   absl::Status Start() override;
@@ -37,6 +42,7 @@
   {
     onVersionSeen_ = std::move(aCallback);
   }
+  int Handshakes() const { return handshakes_; }
   uint64_t BytesSent(Lane aLane) const override { return bytesSent_[static_cast<size_t>(aLane)]; }
 
 private:
@@ -47,6 +53,11 @@
   void Receive(LinkId aId, const LinkEnvelope& aEnvelope);
   void CloseBroken(LinkId aId, const absl::Status& aWhy);
   void Close(LinkId aId);
+  /// Closes a new link from the loop, so that whoever opened it is told after it knows the id.
+  void CloseSoon(LinkId aId);
+  void OnOpened(const Link& aLink);
+  void OnNeverOpened(const Link& aLink);
+  void CountHandshakes(int aChange);
   void Tick();
   Link* Find(LinkId aId) const;
 
@@ -60,6 +71,12 @@
   std::map<Target, LinkId> byTarget_;
   /// Closed links, kept until their sockets' callbacks have returned.
   std::vector<std::unique_ptr<Link>> closed_;
+  ReconnectBackoff backoff_;
+  /// Links that are closed at the next turn of the loop.
+  std::vector<LinkId> unreachable_;
+  Timer closing_;
+  /// Peers that have connected and not finished their handshake.
+  int handshakes_ = 0;
   std::vector<LinkHandler*> handlers_;
   std::function<void(const Endpoint&, Version)> onVersionSeen_;
   Version version_ = 0;
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -10,6 +10,7 @@
 #include "wire/HttpUpstream.h"
 #include "wire/Links.h"
 #include "wire/Messages.h"
+#include "wire/ReconnectBackoff.h"
 #include "wire/SocketAddress.h"
 #include "wire/Store.h"
 #include "wire/UdpDatagrams.h"
--- /dev/null
+++ b/test/correctness/LinksSurviveStorms.cpp
@@ -0,0 +1,137 @@
+/// A node that nobody can reach is tried again at a falling rate, and a herd is let in by turns.
+#include "support/Check.h"
+
+#include "wire/Wire.h"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace dandelion;
+
+namespace {
+
+constexpr int kHerd = 300;
+
+/// Notes which messages came back unsent.
+class Recorder : public LinkHandler
+{
+public:
+  void OnLinkMessage(LinkId, const LinkMessage&) override { ++messages; }
+  void OnLinkClosed(LinkId, const std::vector<LinkMessage>& aUnsent) override
+  {
+    unsent += aUnsent.size();
+  }
+  size_t messages = 0;
+  size_t unsent = 0;
+};
+
+/// Takes connections and ends them at once, as a node does that dies in its handshake.
+class Slammer
+{
+public:
+  Slammer(Loop& aLoop, const Endpoint& aListen)
+  {
+    sockaddr_in address = ToSocketAddress(aListen);
+    auto onAccept = [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aContext) {
+      ++static_cast<Slammer*>(aContext)->connections;
+      close(aSocket);
+    };
+    listener_ = evconnlistener_new_bind(aLoop.Base(),
+                                        onAccept,
+                                        this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        16,
+                                        reinterpret_cast<sockaddr*>(&address),
+                                        sizeof(address));
+  }
+  ~Slammer() { evconnlistener_free(listener_); }
+
+  int connections = 0;
+
+private:
+  evconnlistener* listener_;
+};
+
+Endpoint At(int aHost)
+{
+  return Endpoint{ fmt::format("127.{}.{}.{}", 10 + getpid() / 250 % 10, getpid() % 250, aHost),
+                   7002 };
+}
+
+void RunFor(Loop& aLoop, Duration aTime)
+{
+  Timer end = aLoop.After(aTime, [&] { aLoop.Stop(); });
+  aLoop.Run();
+}
+
+/// Runs the loop until the condition holds; false where it does not within 20 s.
+bool RunUntil(Loop& aLoop, const std::function<bool()>& aCondition)
+{
+  TimePoint limit = aLoop.Now() + seconds(20);
+  while (!aCondition() && aLoop.Now() < limit) {
+    RunFor(aLoop, milliseconds(10));
+  }
+  return aCondition();
+}
+
+int ConnectTo(const Endpoint& aPeer)
+{
+  int socketNumber = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in address = ToSocketAddress(aPeer);
+  (void)connect(socketNumber, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  return socketNumber;
+}
+
+} // namespace
+
+Test(links, to_a_peer_that_cannot_be_reached_are_tried_less_and_less)
+{
+  Loop loop;
+  Slammer slammer(loop, At(1));
+  WebsocketLinks links(loop, At(2), Hello{ "self", At(2) }, 7);
+  Recorder recorder;
+  links.AddHandler(recorder);
+  cr_assert(links.Start().ok());
+  // A call wants the link every millisecond, for a second.
+  size_t sent = 0;
+  std::function<void()> send;
+  Timer timer;
+  send = [&] {
+    links.Send(links.Open(At(1), Lane::Short), CancelCall{ ++sent });
+    timer = loop.After(milliseconds(1), send);
+  };
+  send();
+  RunFor(loop, seconds(1));
+  timer.Cancel();
+  cr_assert(RunUntil(loop, [&] { return recorder.unsent == sent; }));
+  // Bounds of 50, 100, 200, 400 and 800 ms: some ten tries, and none of the messages was lost.
+  cr_assert_leq(slammer.connections, 20);
+}
+
+Test(links, let_a_herd_in_by_turns)
+{
+  Loop loop;
+  WebsocketLinks server(loop, At(3), Hello{ "server", At(3) }, 7);
+  Recorder recorder;
+  server.AddHandler(recorder);
+  cr_assert(server.Start().ok());
+  // Strangers that connect and never shake hands fill all turns, until their time is over.
+  std::vector<int> strangers;
+  for (int i = 0; i < kHerd; ++i) {
+    strangers.push_back(ConnectTo(At(3)));
+  }
+  cr_assert(RunUntil(loop, [&] { return server.Handshakes() > 0; }));
+  RunFor(loop, milliseconds(100));
+  cr_assert_leq(server.Handshakes(), 64);
+  for (int stranger : strangers) {
+    close(stranger);
+  }
+  WebsocketLinks client(loop, At(4), Hello{ "client", At(4) }, 8);
+  cr_assert(client.Start().ok());
+  client.Send(client.Open(At(3), Lane::Control), PullEntries{ 1 });
+  // The greeting and the message.
+  cr_assert(RunUntil(loop, [&] { return recorder.messages == 2; }));
+  cr_assert(RunUntil(loop, [&] { return server.Handshakes() == 0; }));
+}
--- /dev/null
+++ b/test/property/PeersAreTriedAgain.cpp
@@ -0,0 +1,61 @@
+/// Waits between tries grow, stay bounded, and end as soon as a peer is back.
+#include "support/Check.h"
+
+#include "wire/Wire.h"
+
+using namespace dandelion;
+
+Test(backoff, tries_rarely_while_a_peer_is_away_and_finds_it_soon_when_it_is_back)
+{
+  CHECK_PROPERTY("any seed and any demand", [] {
+    ReconnectBackoff backoff(*rc::gen::arbitrary<uint64_t>());
+    Endpoint peer{ "10.0.0.1", 7002 };
+    Duration demand = milliseconds(*rc::gen::inRange(1, 50));
+    TimePoint now;
+    int tries = 0;
+    for (; now < TimePoint(seconds(60)); now += demand) {
+      if (backoff.MayTry(peer, now)) {
+        ++tries;
+        backoff.OnFailed(peer, now);
+      }
+    }
+    // Full jitter under a bound of 2 s gives a try a second in the long run.
+    RC_ASSERT(tries >= 30);
+    RC_ASSERT(tries <= 150);
+    RC_ASSERT(backoff.MayTry(peer, now + seconds(2)));
+    backoff.OnOpened(peer);
+    RC_ASSERT(backoff.MayTry(peer, now));
+  });
+}
+
+Test(backoff, spreads_those_who_lost_a_peer_together)
+{
+  Endpoint peer{ "10.0.0.1", 7002 };
+  std::map<int64_t, int> triesInSlice;
+  constexpr int kNodes = 1000;
+  for (uint64_t seed = 0; seed < kNodes; ++seed) {
+    ReconnectBackoff backoff(seed);
+    TimePoint now;
+    for (int i = 0; i < 6; ++i) {
+      backoff.OnFailed(peer, now);
+    }
+    while (!backoff.MayTry(peer, now)) {
+      now += milliseconds(1);
+    }
+    ++triesInSlice[ToMilliseconds(now - TimePoint()) / 100];
+  }
+  // Spread over 1.6 s, a slice of 100 ms has some 62 of the thousand.
+  for (const auto& [slice, tries] : triesInSlice) {
+    cr_assert_leq(tries, 100);
+  }
+}
+
+Test(backoff, forgets_peers_that_are_long_gone)
+{
+  ReconnectBackoff backoff(1);
+  for (uint16_t port = 1; port <= 1000; ++port) {
+    backoff.OnFailed(Endpoint{ "10.0.0.1", port }, TimePoint());
+  }
+  backoff.Forget(TimePoint(seconds(61)));
+  cr_assert_eq(backoff.Remembered(), 0);
+}
