Keys keep strangers from the links, the datagrams and the operators' port

Cause: whoever reached a node's ports could submit notes or speak as a node. Change: lists of shared keys in the settings. Links prove them in the websocket handshake, both ways and without a further round trip; datagrams and operators' requests are signed; each purpose has its own signature.

--- a/src/dandelion/OperatorClient.cpp
+++ b/src/dandelion/OperatorClient.cpp
@@ -3,19 +3,28 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 
+#include <fstream>
+
 namespace dandelion {
 
-OperatorClient::OperatorClient(std::vector<Endpoint> aNodes)
+OperatorClient::OperatorClient(std::vector<Endpoint> aNodes, SharedKeys aKeys)
   : client_(loop_)
   , nodes_(std::move(aNodes))
+  , keys_(std::move(aKeys))
 {
 }
 
 absl::StatusOr<OperatorAnswer> OperatorClient::Ask(const HttpRequest& aRequest, Duration aTimeLimit)
 {
+  HttpRequest request = aRequest;
+  if (keys_.IsOn()) {
+    std::string claim = OperatorClaim(request.method, request.target, request.body);
+    request.headers.emplace_back(kSignatureHeader,
+                                 ToHex(keys_.Sign(SignaturePurpose::OperatorRequest, claim)));
+  }
   for (size_t tried = 0; tried < nodes_.size(); ++tried) {
     HttpResult result;
-    client_.Send(nodes_[current_], aRequest, aTimeLimit, [&](const HttpResult& aResult) {
+    client_.Send(nodes_[current_], request, aTimeLimit, [&](const HttpResult& aResult) {
       result = aResult;
       loop_.Stop();
     });
@@ -48,6 +57,21 @@
   loop_.Run();
 }
 
+absl::StatusOr<SharedKeys> ReadKeyFile(const std::string& aPath)
+{
+  if (aPath.empty()) {
+    return SharedKeys();
+  }
+  std::ifstream file(aPath);
+  std::string key;
+  if (!std::getline(file, key) || key.empty()) {
+    return MakeError(
+      ErrorKind::Usage,
+      fmt::format("--key_file: no key in the first line of \"{}\"; check the path", aPath));
+  }
+  return SharedKeys({ key });
+}
+
 absl::StatusOr<std::vector<Endpoint>> ParseNodes(const std::string& aText)
 {
   std::vector<Endpoint> nodes;
--- a/src/dandelion/OperatorClient.h
+++ b/src/dandelion/OperatorClient.h
@@ -19,7 +19,7 @@
 {
 public:
   /// `aNodes` are the operators' addresses of nodes, in the order in which they are tried.
-  explicit OperatorClient(std::vector<Endpoint> aNodes);
+  OperatorClient(std::vector<Endpoint> aNodes, SharedKeys aKeys);
 
   /// Sends a request and waits for the answer. Every request here may be repeated through
   /// another node: a note's id makes its repeat harmless.
@@ -35,9 +35,13 @@
   Loop loop_;
   HttpClient client_;
   std::vector<Endpoint> nodes_;
+  SharedKeys keys_;
   size_t current_ = 0;
 };
 
+/// Reads the operators' key from the first line of a file; no key for an empty path.
+absl::StatusOr<SharedKeys> ReadKeyFile(const std::string& aPath);
+
 /// Parses "ip:port,ip:port".
 absl::StatusOr<std::vector<Endpoint>> ParseNodes(const std::string& aText);
 
--- a/src/dandelion/main.cpp
+++ b/src/dandelion/main.cpp
@@ -6,6 +6,7 @@
 #include "absl/flags/usage.h"
 
 ABSL_FLAG(std::string, nodes, "127.0.0.1:7003", "operators' addresses of nodes, tried in turn");
+ABSL_FLAG(std::string, key_file, "", "file with the operators' key, where the nodes ask for one");
 ABSL_FLAG(bool, json, false, "print JSON");
 ABSL_FLAG(bool, watch, false, "go on until the note is in force everywhere or refused");
 ABSL_FLAG(int64_t, timeout_ms, 30000, "longest time that submit and --watch go on");
@@ -20,10 +21,15 @@
     fmt::print(stderr, "dandelion: {}\n", Reason(nodes.status()));
     return AnswerFor(KindOf(nodes.status())).exitCode;
   }
+  auto keys = ReadKeyFile(absl::GetFlag(FLAGS_key_file));
+  if (!keys.ok()) {
+    fmt::print(stderr, "dandelion: {}\n", Reason(keys.status()));
+    return AnswerFor(KindOf(keys.status())).exitCode;
+  }
   CommandOptions options;
   options.isJson = absl::GetFlag(FLAGS_json);
   options.isWatching = absl::GetFlag(FLAGS_watch);
   options.timeLimit = milliseconds(absl::GetFlag(FLAGS_timeout_ms));
-  OperatorClient client(*nodes);
+  OperatorClient client(*nodes, *keys);
   return RunCommand(client, options, std::vector<std::string>(words.begin() + 1, words.end()));
 }
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -29,6 +29,7 @@
   , context_{ loop_, registry_, settings_ }
 {
   Hello hello{ settings_.id, settings_.peers };
+  SharedKeys nodeKeys(settings_.keys.nodes);
   Duration storeLimit = milliseconds(settings_.store.timeoutMs);
   auto add = [&](ServiceName aName, std::unique_ptr<Service> aService) {
     registry_.Add(aName, std::move(aService));
@@ -36,10 +37,10 @@
   add(ServiceName::Metrics, std::make_unique<MetricsService>());
   add(ServiceName::Store, std::make_unique<EtcdStore>(loop_, settings_.store.servers, storeLimit));
   bool cutsLargeMessages = settings_.lanes == LanesName::ByClass;
-  add(
-    ServiceName::Links,
-    std::make_unique<WebsocketLinks>(loop_, settings_.peers, hello, aSeed + 4, cutsLargeMessages));
-  add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers));
+  add(ServiceName::Links,
+      std::make_unique<WebsocketLinks>(
+        loop_, settings_.peers, hello, nodeKeys, aSeed + 4, cutsLargeMessages));
+  add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers, nodeKeys));
   add(ServiceName::Upstream, std::make_unique<HttpUpstream>(loop_, settings_.upstream));
   add(ServiceName::Releases, std::make_unique<ReleasesService>());
   add(ServiceName::ReleaseLog, std::make_unique<ReleaseLogService>(context_));
--- a/src/dandeliond/NodeSettings.cpp
+++ b/src/dandeliond/NodeSettings.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr size_t kMostSettingsBytes = 1024 * 1024;
+/// Shorter keys could be guessed.
+constexpr size_t kShortestKey = 16;
 
 void CheckEndpoint(std::vector<std::string>& aFaults,
                    const std::string& aPath,
@@ -52,6 +54,19 @@
   claim("peers", aSettings.peers);
 }
 
+/// The fault does not show the key: it would end in a log.
+void CheckKeys(std::vector<std::string>& aFaults,
+               const std::string& aPath,
+               const std::vector<std::string>& aKeys)
+{
+  for (size_t i = 0; i < aKeys.size(); ++i) {
+    if (aKeys[i].size() < kShortestKey) {
+      aFaults.push_back(fmt::format(
+        "{}[{}] is too short for a key; give {} characters or more", aPath, i, kShortestKey));
+    }
+  }
+}
+
 std::vector<std::string> FindFaults(const NodeSettings& aSettings)
 {
   std::vector<std::string> faults;
@@ -67,6 +82,8 @@
   if (aSettings.store.servers.empty()) {
     faults.emplace_back("store.servers is empty; name at least one server of the store");
   }
+  CheckKeys(faults, "keys.nodes", aSettings.keys.nodes);
+  CheckKeys(faults, "keys.operators", aSettings.keys.operators);
   CheckClashes(faults, aSettings);
   return faults;
 }
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -33,6 +33,15 @@
   int64_t timeoutMs = 1000;
 };
 
+/// Keys that keep strangers out. A new one is put last everywhere, then first, then alone.
+struct KeySettings
+{
+  /// Between nodes.
+  std::vector<std::string> nodes;
+  /// Of operators' requests.
+  std::vector<std::string> operators;
+};
+
 struct NodeSettings
 {
   /// Name of the slot; it stays the same when the instance is replaced.
@@ -53,6 +62,7 @@
   StoreSettings store;
   /// First contacts for a start while the store is down.
   std::vector<Endpoint> seeds;
+  KeySettings keys;
   LogLevel logLevel = LogLevel::Info;
   /// How the upstream of a call is chosen, how calls wait beside it, whether late calls are sent
   /// twice, and whether long and short calls have links of their own.
@@ -72,6 +82,13 @@
   aVisitor.OptionalField("timeout_ms", aSettings.timeoutMs, Between{ 10, 60000 });
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, KeySettings& aSettings)
+{
+  aVisitor.OptionalField("nodes", aSettings.nodes);
+  aVisitor.OptionalField("operators", aSettings.operators);
+}
+
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, NodeSettings& aSettings)
 {
@@ -86,6 +103,7 @@
   aVisitor.OptionalField("peers_from_other_regions", aSettings.peersFromOtherRegions);
   aVisitor.Field("store", aSettings.store);
   aVisitor.OptionalField("seeds", aSettings.seeds);
+  aVisitor.OptionalField("keys", aSettings.keys);
   aVisitor.OptionalField("log_level", aSettings.logLevel);
   aVisitor.OptionalField("choice", aSettings.choice);
   aVisitor.OptionalField("queue", aSettings.queue);
--- a/src/dandeliond/OperatorService.cpp
+++ b/src/dandeliond/OperatorService.cpp
@@ -64,6 +64,7 @@
 
 OperatorService::OperatorService(const NodeContext& aContext)
   : context_(aContext)
+  , keys_(aContext.settings.keys.operators)
   , server_(aContext.loop, [this](const Exchange& aExchange) { OnRequest(aExchange); })
 {
 }
@@ -87,6 +88,13 @@
 void OperatorService::OnRequest(const Exchange& aExchange)
 {
   const HttpRequest& request = aExchange->Request();
+  std::string claim = OperatorClaim(request.method, request.target, request.body);
+  std::string signature = FromHex(FindHeader(request.headers, kSignatureHeader));
+  if (!keys_.IsSigned(SignaturePurpose::OperatorRequest, claim, signature)) {
+    aExchange->Reply(ErrorResponse(MakeError(
+      ErrorKind::Forbidden, "the request is not signed with the operators' key; use --key_file")));
+    return;
+  }
   bool isPost = request.method == "POST";
   if (isPost && request.target == kNotesPath) {
     Submit(aExchange);
--- a/src/dandeliond/OperatorService.h
+++ b/src/dandeliond/OperatorService.h
@@ -27,6 +27,7 @@
   void ShowMetrics(const Exchange& aExchange);
 
   const NodeContext& context_;
+  SharedKeys keys_;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
   Submissions* submissions_ = nullptr;
--- a/src/dandeliond/main.cpp
+++ b/src/dandeliond/main.cpp
@@ -39,6 +39,11 @@
     return 0;
   }
   SetLogLevel(settings->logLevel);
+  if (settings->keys.nodes.empty() || settings->keys.operators.empty()) {
+    Log(LogPart::Kernel,
+        LogLevel::Warning,
+        "Without keys.nodes and keys.operators whoever reaches the ports is believed.");
+  }
   Loop loop;
   Node node(loop, *settings, FreshIncarnation(), std::random_device()());
   loop.OnSignal(SIGTERM, [&] { node.BeginStop(); });
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -36,6 +36,8 @@
 {
   std::string sender;
   Endpoint endpoint;
+  /// The sender's signature under this link's challenge.
+  std::string proof = {};
 };
 
 /// Asks for all entries after a version.
@@ -161,6 +163,7 @@
 {
   aVisitor.Field("sender", aHello.sender);
   aVisitor.Field("endpoint", aHello.endpoint);
+  aVisitor.Field("proof", aHello.proof);
 }
 
 template<class Visitor>
--- /dev/null
+++ b/src/wire/SharedKeys.cpp
@@ -0,0 +1,98 @@
+#include "wire/SharedKeys.h"
+
+#include "absl/strings/escaping.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace dandelion {
+
+namespace {
+
+constexpr size_t kNonceBytes = 16;
+
+std::string Signature(const std::string& aKey, SignaturePurpose aPurpose, std::string_view aBytes)
+{
+  // The purpose comes first and ends with a byte that no name holds, so no two inputs coincide.
+  std::string input(NameOf(aPurpose));
+  input += '\0';
+  input += aBytes;
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest = {};
+  unsigned int size = 0;
+  HMAC(EVP_sha256(),
+       aKey.data(),
+       static_cast<int>(aKey.size()),
+       reinterpret_cast<const unsigned char*>(input.data()),
+       input.size(),
+       digest.data(),
+       &size);
+  return std::string(digest.begin(), digest.begin() + SharedKeys::kSignatureBytes);
+}
+
+} // namespace
+
+SharedKeys::SharedKeys(std::vector<std::string> aKeys)
+  : keys_(std::move(aKeys))
+{
+}
+
+std::string SharedKeys::Sign(SignaturePurpose aPurpose, std::string_view aBytes) const
+{
+  return IsOn() ? Signature(keys_.front(), aPurpose, aBytes) : std::string();
+}
+
+bool SharedKeys::IsSigned(SignaturePurpose aPurpose,
+                          std::string_view aBytes,
+                          std::string_view aSignature) const
+{
+  if (!IsOn()) {
+    return true;
+  }
+  if (aSignature.size() != kSignatureBytes) {
+    return false;
+  }
+  auto isOf = [&](const std::string& aKey) {
+    std::string expected = Signature(aKey, aPurpose, aBytes);
+    // Takes the same time for every wrong signature, so that none can be guessed byte by byte.
+    return CRYPTO_memcmp(expected.data(), aSignature.data(), kSignatureBytes) == 0;
+  };
+  return std::any_of(keys_.begin(), keys_.end(), isOf);
+}
+
+std::string OperatorClaim(std::string_view aMethod,
+                          std::string_view aTarget,
+                          std::string_view aBody)
+{
+  return fmt::format("{}\n{}\n{}", aMethod, aTarget, aBody);
+}
+
+std::string FreshNonce()
+{
+  std::array<unsigned char, kNonceBytes> bytes = {};
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+    Log(LogPart::Links, LogLevel::Error, "The system gives no random bytes; links are refused.");
+    return "";
+  }
+  return ToHex(std::string(bytes.begin(), bytes.end()));
+}
+
+std::string ToHex(std::string_view aBytes)
+{
+  return absl::BytesToHexString(absl::string_view(aBytes.data(), aBytes.size()));
+}
+
+std::string FromHex(std::string_view aText)
+{
+  auto isDigit = [](unsigned char aCharacter) { return std::isxdigit(aCharacter) != 0; };
+  bool isHex = aText.size() % 2 == 0 && std::all_of(aText.begin(), aText.end(), isDigit);
+  return isHex ? absl::HexStringToBytes(absl::string_view(aText.data(), aText.size()))
+               : std::string();
+}
+
+} // namespace dandelion
--- a/src/wire/UdpDatagrams.cpp
+++ b/src/wire/UdpDatagrams.cpp
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+
 namespace dandelion {
 
 namespace {
@@ -16,9 +18,10 @@
 
 } // namespace
 
-UdpDatagrams::UdpDatagrams(Loop& aLoop, Endpoint aListen)
+UdpDatagrams::UdpDatagrams(Loop& aLoop, Endpoint aListen, SharedKeys aKeys)
   : loop_(aLoop)
   , listen_(std::move(aListen))
+  , keys_(std::move(aKeys))
 {
 }
 
@@ -57,6 +60,7 @@
     return;
   }
   std::string bytes = Encode(aDatagram);
+  bytes += keys_.Sign(SignaturePurpose::Datagram, bytes);
   bytesSent_ += bytes.size();
   // A full socket buffer loses the datagram, as the network may; every protocol above allows it.
   (void)sendto(
@@ -74,18 +78,33 @@
     if (size < 0) {
       return;
     }
-    auto datagram = Decode<Datagram>(std::string_view(buffer.data(), static_cast<size_t>(size)));
-    if (!datagram.ok()) {
-      Log(LogPart::Links,
-          LogLevel::Warning,
-          "A datagram from {} was dropped: {}.",
-          ToText(ToEndpoint(address)),
-          Reason(datagram.status()));
-      continue;
-    }
-    for (const Handler& handler : handlers_) {
-      handler(ToEndpoint(address), *datagram);
-    }
+    Receive(ToEndpoint(address), std::string_view(buffer.data(), static_cast<size_t>(size)));
+  }
+}
+
+void UdpDatagrams::Receive(const Endpoint& aFrom, std::string_view aBytes)
+{
+  size_t signatureBytes = keys_.IsOn() ? std::min(aBytes.size(), SharedKeys::kSignatureBytes) : 0;
+  std::string_view signature = aBytes.substr(aBytes.size() - signatureBytes);
+  std::string_view body = aBytes.substr(0, aBytes.size() - signatureBytes);
+  if (!keys_.IsSigned(SignaturePurpose::Datagram, body, signature)) {
+    Log(LogPart::Links,
+        LogLevel::Warning,
+        "A datagram from {} was dropped: it is not signed with this mesh's key.",
+        ToText(aFrom));
+    return;
+  }
+  auto datagram = Decode<Datagram>(body);
+  if (!datagram.ok()) {
+    Log(LogPart::Links,
+        LogLevel::Warning,
+        "A datagram from {} was dropped: {}.",
+        ToText(aFrom),
+        Reason(datagram.status()));
+    return;
+  }
+  for (const Handler& handler : handlers_) {
+    handler(aFrom, *datagram);
   }
 }
 
--- a/src/wire/UdpDatagrams.h
+++ b/src/wire/UdpDatagrams.h
@@ -3,6 +3,7 @@
 #define DANDELION_WIRE_UDP_DATAGRAMS_H
 
 #include "wire/Datagrams.h"
+#include "wire/SharedKeys.h"
 
 struct event;
 
@@ -13,7 +14,7 @@
   , public Datagrams
 {
 public:
-  UdpDatagrams(Loop& aLoop, Endpoint aListen);
+  UdpDatagrams(Loop& aLoop, Endpoint aListen, SharedKeys aKeys);
   ~UdpDatagrams() override;
 
   absl::Status Start() override;
@@ -24,9 +25,11 @@
 
 private:
   void ReceiveAll();
+  void Receive(const Endpoint& aFrom, std::string_view aBytes);
 
   Loop& loop_;
   Endpoint listen_;
+  SharedKeys keys_;
   int socket_ = -1;
   event* readable_ = nullptr;
   std::vector<Handler> handlers_;
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -55,7 +55,7 @@
   {
     DisableNagle(aSocket);
     MakeSocket(aSocket);
-    session_ = WebsocketSession::Accept(MakeCallbacks());
+    session_ = WebsocketSession::Accept(owner_.keys_, MakeCallbacks());
     session_->Begin();
   }
 
@@ -63,6 +63,8 @@
   {
     peer_ = aPeer;
     isOutgoing_ = true;
+    // Its listener proves itself in the handshake, before the link is open.
+    isBelieved_ = true;
   }
 
   void Connect()
@@ -156,11 +158,44 @@
     isOpen_ = true;
     owner_.OnOpened(*this);
     if (isOutgoing_) {
-      SendNow(owner_.self_);
+      SendNow(SignedHello());
     }
     SendWaiting();
   }
 
+  LinkMessage SignedHello() const
+  {
+    Hello hello = owner_.self_;
+    hello.proof = ToHex(owner_.keys_.Sign(SignaturePurpose::LinkFromOpener, Claim(hello)));
+    return hello;
+  }
+
+  /// What the opener of a link signs: this link's challenge, and who it says it is.
+  std::string Claim(const Hello& aHello) const
+  {
+    return fmt::format("{}\n{}\n{}", session_->Challenge(), aHello.sender, ToText(aHello.endpoint));
+  }
+
+  /// The opener must greet with its proof before anything else of it is believed.
+  bool IsBelieved(const LinkEnvelope& aEnvelope)
+  {
+    const auto* hello = std::get_if<Hello>(&aEnvelope.message);
+    if (!isBelieved_ && hello != nullptr) {
+      isBelieved_ = owner_.keys_.IsSigned(
+        SignaturePurpose::LinkFromOpener, Claim(*hello), FromHex(hello->proof));
+    }
+    return isBelieved_;
+  }
+
+  void Receive(const LinkEnvelope& aEnvelope)
+  {
+    if (IsBelieved(aEnvelope)) {
+      owner_.Receive(id_, aEnvelope);
+    } else {
+      owner_.CloseBroken(id_, absl::PermissionDeniedError("the opener does not have our key"));
+    }
+  }
+
   void SendWaiting()
   {
     std::vector<LinkMessage> waiting = std::move(waiting_);
@@ -198,7 +233,7 @@
       return;
     }
     std::visit(Overloaded{
-                 [&](const LinkEnvelope& aEnvelope) { owner_.Receive(id_, aEnvelope); },
+                 [&](const LinkEnvelope& aEnvelope) { Receive(aEnvelope); },
                  [&](const Fragment& aFragment) { OnFragment(aFragment); },
                  [&](const FragmentCredit& aCredit) {
                    fragments_.OnCredit(aCredit.bytes, owner_.loop_.Now());
@@ -210,6 +245,10 @@
 
   void OnFragment(const Fragment& aFragment)
   {
+    if (!isBelieved_) {
+      owner_.CloseBroken(id_, absl::PermissionDeniedError("the opener has not greeted"));
+      return;
+    }
     session_->Send(Encode(LinkFrame(FragmentCredit{ aFragment.bytes.data.size() })));
     auto whole = received_.Take(aFragment);
     if (!whole.ok()) {
@@ -224,7 +263,7 @@
       owner_.CloseBroken(id_, envelope.status());
       return;
     }
-    owner_.Receive(id_, *envelope);
+    Receive(*envelope);
   }
 
   void Ping(TimePoint aNow)
@@ -253,7 +292,8 @@
     auto* link = static_cast<Link*>(aContext);
     if ((aEvents & BEV_EVENT_CONNECTED) != 0) {
       DisableNagle(bufferevent_getfd(aSocket));
-      link->session_ = WebsocketSession::Connect(ToText(*link->peer_), link->MakeCallbacks());
+      link->session_ =
+        WebsocketSession::Connect(ToText(*link->peer_), link->owner_.keys_, link->MakeCallbacks());
       link->session_->Begin();
       return;
     }
@@ -273,6 +313,7 @@
   bool isOutgoing_ = false;
   bool isOpen_ = false;
   bool isVerifying_ = false;
+  bool isBelieved_ = false;
   int awaited_ = 0;
   std::vector<LinkMessage> waiting_;
   FragmentSender fragments_;
@@ -282,11 +323,13 @@
 WebsocketLinks::WebsocketLinks(Loop& aLoop,
                                Endpoint aListen,
                                Hello aSelf,
+                               SharedKeys aKeys,
                                uint64_t aSeed,
                                bool aCutsLargeMessages)
   : loop_(aLoop)
   , listen_(std::move(aListen))
   , self_(std::move(aSelf))
+  , keys_(std::move(aKeys))
   , cutsLargeMessages_(aCutsLargeMessages)
   , backoff_(aSeed)
 {
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -4,6 +4,7 @@
 
 #include "wire/Links.h"
 #include "wire/ReconnectBackoff.h"
+#include "wire/SharedKeys.h"
 
 #include <array>
 #include <map>
@@ -24,6 +25,7 @@
   WebsocketLinks(Loop& aLoop,
                  Endpoint aListen,
                  Hello aSelf,
+                 SharedKeys aKeys,
                  uint64_t aSeed,
                  bool aCutsLargeMessages = true);
   ~WebsocketLinks() override;
@@ -64,6 +66,7 @@
   Loop& loop_;
   Endpoint listen_;
   Hello self_;
+  SharedKeys keys_;
   bool cutsLargeMessages_;
   evconnlistener* listener_ = nullptr;
   LinkId nextId_ = 1;
--- a/src/wire/WebsocketSession.cpp
+++ b/src/wire/WebsocketSession.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Headers of the handshake: each side's nonce, and the listener's proof that it has a key.
+constexpr char kNonceHeader[] = "dandelion-nonce";
+constexpr char kProofHeader[] = "dandelion-proof";
 constexpr size_t kLargestMessage = 24 * 1024 * 1024;
 
 using Server = websocketpp::server<websocketpp::config::core>;
@@ -43,8 +46,9 @@
 public:
   using ConnectionPtr = typename EndpointType::connection_ptr;
 
-  Session(ConnectionPtr aConnection, Callbacks aCallbacks)
+  Session(ConnectionPtr aConnection, const SharedKeys& aKeys, Callbacks aCallbacks)
     : connection_(std::move(aConnection))
+    , keys_(aKeys)
     , callbacks_(std::move(aCallbacks))
   {
     using websocketpp::connection_hdl;
@@ -53,7 +57,8 @@
       callbacks_.onWrite(std::string_view(aBytes, aCount));
       return websocketpp::lib::error_code();
     });
-    connection_->set_open_handler([this](connection_hdl) { callbacks_.onOpen(); });
+    connection_->set_validate_handler([this](connection_hdl) { return AnswerNonce(); });
+    connection_->set_open_handler([this](connection_hdl) { OnOpen(); });
     connection_->set_message_handler(
       [this](connection_hdl, typename EndpointType::message_ptr aMessage) {
         callbacks_.onMessage(aMessage->get_payload());
@@ -66,6 +71,7 @@
   {
     auto ignore = [](websocketpp::connection_hdl) {};
     connection_->set_open_handler(ignore);
+    connection_->set_validate_handler([](websocketpp::connection_hdl) { return false; });
     connection_->set_close_handler(ignore);
     connection_->set_fail_handler(ignore);
     connection_->set_message_handler(
@@ -79,6 +85,8 @@
   void Begin() override
   {
     if constexpr (std::is_same_v<EndpointType, Client>) {
+      ownNonce_ = FreshNonce();
+      connection_->append_header(kNonceHeader, ownNonce_);
       SharedClient().connect(connection_);
     } else {
       connection_->start();
@@ -93,6 +101,12 @@
     (void)connection_->send(aMessage, websocketpp::frame::opcode::binary);
   }
 
+  std::string Challenge() const override
+  {
+    bool isOpener = std::is_same_v<EndpointType, Client>;
+    return isOpener ? peerNonce_ + ownNonce_ : ownNonce_ + peerNonce_;
+  }
+
   void Ping() override
   {
     websocketpp::lib::error_code error;
@@ -100,18 +114,52 @@
   }
 
 private:
+  /// The listener proves that it has a key, by what the opener has just made up.
+  bool AnswerNonce()
+  {
+    ownNonce_ = FreshNonce();
+    peerNonce_ = connection_->get_request_header(kNonceHeader);
+    if (ownNonce_.empty()) {
+      return false;
+    }
+    connection_->append_header(kNonceHeader, ownNonce_);
+    connection_->append_header(kProofHeader,
+                               ToHex(keys_.Sign(SignaturePurpose::LinkFromListener, Challenge())));
+    return true;
+  }
+
+  void OnOpen()
+  {
+    if constexpr (std::is_same_v<EndpointType, Client>) {
+      peerNonce_ = connection_->get_response_header(kNonceHeader);
+      std::string proof = FromHex(connection_->get_response_header(kProofHeader));
+      if (!keys_.IsSigned(SignaturePurpose::LinkFromListener, Challenge(), proof)) {
+        Log(LogPart::Links, LogLevel::Warning, "A link is closed: the peer does not have our key.");
+        callbacks_.onEnd();
+        return;
+      }
+    }
+    callbacks_.onOpen();
+  }
+
   ConnectionPtr connection_;
+  const SharedKeys& keys_;
+  std::string ownNonce_;
+  std::string peerNonce_;
   Callbacks callbacks_;
 };
 
 } // namespace
 
-std::unique_ptr<WebsocketSession> WebsocketSession::Accept(Callbacks aCallbacks)
+std::unique_ptr<WebsocketSession> WebsocketSession::Accept(const SharedKeys& aKeys,
+                                                           Callbacks aCallbacks)
 {
-  return std::make_unique<Session<Server>>(SharedServer().get_connection(), std::move(aCallbacks));
+  return std::make_unique<Session<Server>>(
+    SharedServer().get_connection(), aKeys, std::move(aCallbacks));
 }
 
 std::unique_ptr<WebsocketSession> WebsocketSession::Connect(const std::string& aHost,
+                                                            const SharedKeys& aKeys,
                                                             Callbacks aCallbacks)
 {
   websocketpp::lib::error_code error;
@@ -119,7 +167,7 @@
   if (error) {
     return nullptr;
   }
-  return std::make_unique<Session<Client>>(connection, std::move(aCallbacks));
+  return std::make_unique<Session<Client>>(connection, aKeys, std::move(aCallbacks));
 }
 
 } // namespace dandelion
--- a/src/wire/WebsocketSession.h
+++ b/src/wire/WebsocketSession.h
@@ -2,6 +2,8 @@
 #ifndef DANDELION_WIRE_WEBSOCKET_SESSION_H
 #define DANDELION_WIRE_WEBSOCKET_SESSION_H
 
+#include "wire/SharedKeys.h"
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,8 +24,11 @@
   };
 
   /// A session that waits for the peer's handshake, or one that begins its own.
-  static std::unique_ptr<WebsocketSession> Accept(Callbacks aCallbacks);
-  static std::unique_ptr<WebsocketSession> Connect(const std::string& aHost, Callbacks aCallbacks);
+  /// With keys, each side proves in the handshake that it has one.
+  static std::unique_ptr<WebsocketSession> Accept(const SharedKeys& aKeys, Callbacks aCallbacks);
+  static std::unique_ptr<WebsocketSession> Connect(const std::string& aHost,
+                                                   const SharedKeys& aKeys,
+                                                   Callbacks aCallbacks);
 
   virtual ~WebsocketSession() = default;
 
@@ -33,6 +38,8 @@
   virtual void Feed(const char* aBytes, size_t aCount) = 0;
   /// Sends one binary message.
   virtual void Send(const std::string& aMessage) = 0;
+  /// The nonces of both sides, the listener's first; what the opener signs in its greeting.
+  virtual std::string Challenge() const = 0;
   /// Asks the peer for a sign of life.
   virtual void Ping() = 0;
 };
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -11,6 +11,7 @@
 #include "wire/Links.h"
 #include "wire/Messages.h"
 #include "wire/ReconnectBackoff.h"
+#include "wire/SharedKeys.h"
 #include "wire/SocketAddress.h"
 #include "wire/Store.h"
 #include "wire/UdpDatagrams.h"
--- a/test/correctness/LinksSurviveStorms.cpp
+++ b/test/correctness/LinksSurviveStorms.cpp
@@ -90,7 +90,7 @@
 {
   Loop loop;
   Slammer slammer(loop, At(1));
-  WebsocketLinks links(loop, At(2), Hello{ "self", At(2) }, 7);
+  WebsocketLinks links(loop, At(2), Hello{ "self", At(2) }, SharedKeys(), 7);
   Recorder recorder;
   links.AddHandler(recorder);
   cr_assert(links.Start().ok());
@@ -113,7 +113,7 @@
 Test(links, let_a_herd_in_by_turns)
 {
   Loop loop;
-  WebsocketLinks server(loop, At(3), Hello{ "server", At(3) }, 7);
+  WebsocketLinks server(loop, At(3), Hello{ "server", At(3) }, SharedKeys(), 7);
   Recorder recorder;
   server.AddHandler(recorder);
   cr_assert(server.Start().ok());
@@ -128,7 +128,7 @@
   for (int stranger : strangers) {
     close(stranger);
   }
-  WebsocketLinks client(loop, At(4), Hello{ "client", At(4) }, 8);
+  WebsocketLinks client(loop, At(4), Hello{ "client", At(4) }, SharedKeys(), 8);
   cr_assert(client.Start().ok());
   client.Send(client.Open(At(3), Lane::Control), PullEntries{ 1 });
   // The greeting and the message.
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -177,6 +177,10 @@
   if (shape_.hasPaidLink) {
     settings["peers_from_other_regions"] = endpoint(ip, 7102);
   }
+  if (!shape_.nodeKey.empty()) {
+    settings["keys"] = { { "nodes", Json::array({ shape_.nodeKey }) },
+                         { "operators", Json::array({ shape_.operatorKey }) } };
+  }
   settings.update(Json::parse(shape_.moreSettings));
   if (aNamesSeeds) {
     Json seeds = Json::array();
@@ -409,7 +413,14 @@
 HttpResult Cluster::Ask(const Endpoint& aServer, const HttpRequest& aRequest, Duration aLimit)
 {
   HttpResult result;
-  client_.Send(aServer, aRequest, aLimit, [&](const HttpResult& aResult) {
+  HttpRequest request = aRequest;
+  if (!shape_.operatorKey.empty()) {
+    std::string claim = OperatorClaim(request.method, request.target, request.body);
+    SharedKeys keys({ shape_.operatorKey });
+    request.headers.emplace_back(kSignatureHeader,
+                                 ToHex(keys.Sign(SignaturePurpose::OperatorRequest, claim)));
+  }
+  client_.Send(aServer, request, aLimit, [&](const HttpResult& aResult) {
     result = aResult;
     loop_.Stop();
   });
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -26,6 +26,9 @@
   bool startsUpstreams = true;
   /// Settings of each node beside the usual ones, as JSON.
   std::string moreSettings = "{}";
+  /// Keys of the nodes and of the operators; empty for none.
+  std::string nodeKey = {};
+  std::string operatorKey = {};
 };
 
 struct CallResult
@@ -81,6 +84,8 @@
   Json StatusOf(int aNode, const std::string& aId);
   Json VersionOf(int aNode);
   std::string MetricsOf(int aNode);
+  /// Requests to operators' addresses are signed with this key from now on; none for "".
+  void SetOperatorKey(const std::string& aKey) { shape_.operatorKey = aKey; }
   /// Members that a node sees as alive.
   int AliveSeenBy(int aNode);
   /// Waits until the note is in force everywhere, as a node sees it.
