A link begins no more large messages than its receiver can hold

Cause: a receiver ends a link on which more than 24 MB have begun, and a sender let any number of large answers take turns: nine images of 4 MB at a time ended the link, and all its calls became unknown. Fragments with nothing in them took memory and counted for nothing. Change: long messages share 24 MB, those up to 256 KB have 4 MB of their own, the rest waits. Empty fragments are refused. Damaged settings, headers, handshakes, frames and HTTP requests now have property tests.

--- a/src/wire/Fragments.cpp
+++ b/src/wire/Fragments.cpp
@@ -13,7 +13,27 @@
 
 void FragmentSender::Add(const LinkMessage& aMessage, std::string aBytes)
 {
-  queue_.push_back(Outgoing{ nextId_++, aMessage, std::move(aBytes) });
+  Outgoing outgoing{ nextId_++, aMessage, std::move(aBytes) };
+  Share& share = ShareOf(outgoing);
+  share.waiting.push_back(std::move(outgoing));
+}
+
+FragmentSender::Share& FragmentSender::ShareOf(const Outgoing& aOutgoing)
+{
+  return aOutgoing.bytes.size() <= kLongestShortMessage ? short_ : long_;
+}
+
+void FragmentSender::BeginWaiting(Share& aShare)
+{
+  while (!aShare.waiting.empty()) {
+    size_t bytes = aShare.waiting.front().bytes.size();
+    if (aShare.begunBytes > 0 && aShare.begunBytes + bytes > aShare.mostBytes) {
+      return;
+    }
+    aShare.begunBytes += bytes;
+    turns_.push_back(std::move(aShare.waiting.front()));
+    aShare.waiting.pop_front();
+  }
 }
 
 void FragmentSender::OnCredit(uint64_t aBytes, TimePoint aNow)
@@ -41,14 +61,16 @@
 
 std::optional<Fragment> FragmentSender::Next(TimePoint aNow)
 {
-  if (queue_.empty() || static_cast<double>(onTheWay_) >= window_) {
+  BeginWaiting(long_);
+  BeginWaiting(short_);
+  if (turns_.empty() || static_cast<double>(onTheWay_) >= window_) {
     return std::nullopt;
   }
   if (onTheWay_ == 0) {
     window_ = std::min(window_, kWindowAfterIdle);
   }
-  Outgoing outgoing = std::move(queue_.front());
-  queue_.pop_front();
+  Outgoing outgoing = std::move(turns_.front());
+  turns_.pop_front();
   Fragment fragment;
   fragment.message = outgoing.id;
   fragment.bytes.data = outgoing.bytes.substr(outgoing.sent, kFragmentBytes);
@@ -56,9 +78,11 @@
   onTheWay_ += fragment.bytes.data.size();
   sentAt_.push_back(aNow);
   fragment.isLast = outgoing.sent >= outgoing.bytes.size();
-  if (!fragment.isLast) {
+  if (fragment.isLast) {
+    ShareOf(outgoing).begunBytes -= outgoing.bytes.size();
+  } else {
     // To the back: the messages on a link take turns.
-    queue_.push_back(std::move(outgoing));
+    turns_.push_back(std::move(outgoing));
   }
   return fragment;
 }
@@ -66,19 +90,25 @@
 std::vector<LinkMessage> FragmentSender::TakeUnsent()
 {
   std::vector<LinkMessage> unsent;
-  for (Outgoing& outgoing : queue_) {
-    unsent.push_back(std::move(outgoing.message));
+  for (std::deque<Outgoing>* queue : { &turns_, &short_.waiting, &long_.waiting }) {
+    for (Outgoing& outgoing : *queue) {
+      unsent.push_back(std::move(outgoing.message));
+    }
+    queue->clear();
   }
-  queue_.clear();
   return unsent;
 }
 
 absl::StatusOr<std::optional<std::string>> FragmentReceiver::Take(const Fragment& aFragment)
 {
+  if (aFragment.bytes.data.empty()) {
+    // Each of these would take memory and none would count.
+    return MakeError(ErrorKind::BrokenMessage, "a fragment is empty");
+  }
   held_ += aFragment.bytes.data.size();
-  if (held_ > kLargestMessage) {
+  if (held_ > kMostPartialBytes) {
     return MakeError(ErrorKind::TooLarge,
-                     fmt::format("a peer sends more than {} bytes at once", kLargestMessage));
+                     fmt::format("a peer sends more than {} bytes at once", kMostPartialBytes));
   }
   std::string& partial = partial_[aFragment.message];
   partial += aFragment.bytes.data;
--- a/src/wire/Fragments.h
+++ b/src/wire/Fragments.h
@@ -24,6 +24,12 @@
 constexpr Duration kTargetWait = milliseconds(5);
 /// The largest message that a receiver puts together.
 constexpr size_t kLargestMessage = 24 * 1024 * 1024;
+/// Messages up to this size do not wait for larger ones to end before they take turns.
+constexpr size_t kLongestShortMessage = 256 * 1024;
+/// Bytes of short messages that may take turns at a time, beside one share for the long ones.
+constexpr size_t kShortShareBytes = 4 * 1024 * 1024;
+/// What a receiver must be ready to hold of messages that have not ended.
+constexpr size_t kMostPartialBytes = kLargestMessage + kShortShareBytes;
 
 struct Fragment
 {
@@ -75,22 +81,37 @@
     std::string bytes;
     size_t sent = 0;
   };
-  uint64_t nextId_ = 1;
+  /// Messages of one kind of size. The receiver holds what has begun and not ended, so no more
+  /// begins than it can hold; the rest waits.
+  struct Share
+  {
+    size_t mostBytes;
+    std::deque<Outgoing> waiting = {};
+    size_t begunBytes = 0;
+  };
+
   void AdjustWindow(Duration aRoundTrip, uint64_t aBytes);
+  void BeginWaiting(Share& aShare);
+  Share& ShareOf(const Outgoing& aOutgoing);
+
+  uint64_t nextId_ = 1;
 
   size_t onTheWay_ = 0;
   /// When each fragment on the way was sent; credits come in the same order.
   std::deque<TimePoint> sentAt_;
   std::optional<Duration> shortestRoundTrip_;
   double window_ = kFirstWindow;
-  std::deque<Outgoing> queue_;
+  Share short_{ kShortShareBytes };
+  Share long_{ kLargestMessage };
+  /// Messages that have begun; they take turns.
+  std::deque<Outgoing> turns_;
 };
 
 class FragmentReceiver
 {
 public:
-  /// Takes a fragment; gives the whole bytes with the last one. An error where the peer sends more
-  /// than the largest message.
+  /// Takes a fragment; gives the whole bytes with the last one. An error where the peer begins more
+  /// than `kMostPartialBytes`, or sends nothing in a fragment.
   absl::StatusOr<std::optional<std::string>> Take(const Fragment& aFragment);
 
 private:
--- /dev/null
+++ b/test/property/HostileInputDoesNoHarm.cpp
@@ -0,0 +1,134 @@
+/// Damaged input at each edge gives a clear error or a sound value, and the edge goes on working.
+#include "support/Check.h"
+#include "support/Mutate.h"
+
+#include "dandeliond/NodeSettings.h"
+#include "wire/WebsocketSession.h"
+
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+constexpr char kSettings[] = R"({
+  // A node.
+  "id": "a", "region": "east", "zone": "east-1", "service": "stock",
+  "upstream": { "ip": "10.1.1.10", "port": 8080 },
+  "front": { "ip": "10.1.1.10", "port": 7001 },
+  "operators": { "ip": "10.1.1.10", "port": 7003 },
+  "peers": { "ip": "10.1.1.10", "port": 7002 },
+  "store": { "servers": [{ "ip": "10.1.0.2", "port": 2379 }], "region": "east" },
+  "keys": { "nodes": ["0123456789abcdef"] },
+  "choice": "two-choices"
+})";
+
+constexpr char kUpgrade[] = "GET /link HTTP/1.1\r\nHost: 10.0.0.1:7002\r\n"
+                            "Upgrade: websocket\r\nConnection: Upgrade\r\n"
+                            "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+                            "Sec-WebSocket-Version: 13\r\ndandelion-nonce: 00ff\r\n\r\n";
+
+constexpr char kHttpCall[] = "POST /s0/x?a=b HTTP/1.1\r\nHost: 10.0.0.1:7001\r\n"
+                             "Content-Length: 5\r\ndandelion-deadline-ms: 500\r\n\r\nhello";
+
+Endpoint At(int aHost)
+{
+  return Endpoint{ fmt::format("127.{}.{}.{}", 10 + getpid() / 250 % 10, getpid() % 250, aHost),
+                   7001 };
+}
+
+void RunFor(Loop& aLoop, Duration aTime)
+{
+  Timer end = aLoop.After(aTime, [&] { aLoop.Stop(); });
+  aLoop.Run();
+}
+
+/// Sends bytes on a connection of their own and closes it.
+void SendRaw(Loop& aLoop, const Endpoint& aServer, const std::string& aBytes)
+{
+  int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address = ToSocketAddress(aServer);
+  (void)connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  (void)send(connection, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  RunFor(aLoop, milliseconds(1));
+  close(connection);
+}
+
+} // namespace
+
+Test(hostile_input, in_settings_is_refused_with_a_reason)
+{
+  cr_assert(ParseNodeSettings(kSettings).ok());
+  CHECK_PROPERTY("damaged settings", [] {
+    auto settings = ParseNodeSettings(Mutate(kSettings));
+    if (!settings.ok()) {
+      RC_ASSERT(KindOf(settings.status()) == ErrorKind::InvalidSettings);
+      RC_ASSERT(!Reason(settings.status()).empty());
+    }
+  });
+}
+
+Test(hostile_input, in_headers_is_refused_with_a_reason)
+{
+  CHECK_PROPERTY("any values", [] {
+    HttpHeaders headers = { { kDeadlineHeader, *rc::gen::arbitrary<std::string>() },
+                            { kClassHeader, *rc::gen::arbitrary<std::string>() },
+                            { kRepeatsHeader, std::to_string(*rc::gen::arbitrary<int64_t>()) } };
+    auto limits = ReadLimits(headers);
+    if (!limits.ok()) {
+      RC_ASSERT(KindOf(limits.status()) == ErrorKind::Usage);
+    } else if (limits->repeatsLeft.has_value()) {
+      RC_ASSERT(*limits->repeatsLeft >= 0);
+    }
+    RC_ASSERT(FromHex(ToHex(headers[0].second)) == headers[0].second);
+    (void)FromHex(headers[1].second);
+  });
+}
+
+Test(hostile_input, in_a_handshake_or_frames_ends_the_link_only)
+{
+  CHECK_PROPERTY("a damaged handshake and what follows it, in pieces", [] {
+    SharedKeys keys;
+    WebsocketSession::Callbacks callbacks;
+    callbacks.onWrite = [](std::string_view) {};
+    callbacks.onOpen = [] {};
+    callbacks.onMessage = [](const std::string& aBytes) { (void)Decode<LinkFrame>(aBytes); };
+    callbacks.onEnd = [] {};
+    auto session = WebsocketSession::Accept(keys, callbacks);
+    session->Begin();
+    bool isHandshakeWhole = *rc::gen::arbitrary<bool>();
+    std::string bytes = isHandshakeWhole ? kUpgrade : Mutate(kUpgrade);
+    bytes += *rc::gen::arbitrary<std::string>();
+    for (size_t at = 0; at < bytes.size();) {
+      size_t count = *rc::gen::inRange<size_t>(1, bytes.size() + 1);
+      count = std::min(count, bytes.size() - at);
+      session->Feed(bytes.data() + at, count);
+      at += count;
+    }
+  });
+}
+
+Test(hostile_input, on_the_http_edge_leaves_it_working)
+{
+  Loop loop;
+  int served = 0;
+  HttpServer server(loop, [&](std::shared_ptr<HttpExchange> aExchange) {
+    ++served;
+    aExchange->Reply(HttpResponse{ 200, {}, aExchange->Request().body });
+  });
+  cr_assert(server.Listen(At(1), HttpLimits()).ok());
+  CHECK_PROPERTY("damaged requests", [&] { SendRaw(loop, At(1), Mutate(std::string(kHttpCall))); });
+  HttpClient client(loop);
+  HttpResult result;
+  client.Send(At(1), HttpRequest{ "POST", "/x", {}, "whole" }, seconds(20), [&](const auto& aIt) {
+    result = aIt;
+    loop.Stop();
+  });
+  loop.Run();
+  cr_assert(result.outcome == HttpOutcome::Answered);
+  cr_assert_eq(result.response.body, "whole");
+  cr_assert_gt(served, 0);
+}
--- /dev/null
+++ b/test/support/Mutate.h
@@ -0,0 +1,34 @@
+/// Damage to bytes, for properties of decoders.
+#ifndef DANDELION_TEST_SUPPORT_MUTATE_H
+#define DANDELION_TEST_SUPPORT_MUTATE_H
+
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace dandelion::testing {
+
+/// Changes, cuts off or inserts bytes, up to five times. To be called within a property.
+inline std::string Mutate(std::string aBytes)
+{
+  int changes = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < changes && !aBytes.empty(); ++i) {
+    size_t at = *rc::gen::inRange<size_t>(0, aBytes.size());
+    switch (*rc::gen::inRange(0, 3)) {
+      case 0:
+        aBytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+        break;
+      case 1:
+        aBytes.resize(at);
+        break;
+      default:
+        aBytes.insert(at, 1, static_cast<char>(*rc::gen::inRange(0, 256)));
+        break;
+    }
+  }
+  return aBytes;
+}
+
+} // namespace dandelion::testing
+
+#endif
