--- a/test/correctness/LinksSurviveStorms.cpp
+++ b/test/correctness/LinksSurviveStorms.cpp
@@ -1,5 +1,6 @@
 /// A node that nobody can reach is tried again at a falling rate, and a herd is let in by turns.
 #include "support/Check.h"
+#include "support/Loopback.h"
 
 #include "wire/Wire.h"
 
@@ -9,6 +10,7 @@
 #include <unistd.h>
 
 using namespace dandelion;
+using namespace dandelion::testing;
 
 namespace {
 
@@ -54,28 +56,6 @@
   evconnlistener* listener_;
 };
 
-Endpoint At(int aHost)
-{
-  return Endpoint{ fmt::format("127.{}.{}.{}", 10 + getpid() / 250 % 10, getpid() % 250, aHost),
-                   7002 };
-}
-
-void RunFor(Loop& aLoop, Duration aTime)
-{
-  Timer end = aLoop.After(aTime, [&] { aLoop.Stop(); });
-  aLoop.Run();
-}
-
-/// Runs the loop until the condition holds; false where it does not within 20 s.
-bool RunUntil(Loop& aLoop, const std::function<bool()>& aCondition)
-{
-  TimePoint limit = aLoop.Now() + seconds(20);
-  while (!aCondition() && aLoop.Now() < limit) {
-    RunFor(aLoop, milliseconds(10));
-  }
-  return aCondition();
-}
-
 int ConnectTo(const Endpoint& aPeer)
 {
   int socketNumber = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -89,8 +69,8 @@
 Test(links, to_a_peer_that_cannot_be_reached_are_tried_less_and_less)
 {
   Loop loop;
-  Slammer slammer(loop, At(1));
-  WebsocketLinks links(loop, At(2), Hello{ "self", At(2) }, SharedKeys(), 7);
+  Slammer slammer(loop, LoopbackOf(1));
+  WebsocketLinks links(loop, LoopbackOf(2), Hello{ "self", LoopbackOf(2) }, SharedKeys(), 7);
   Recorder recorder;
   links.AddHandler(recorder);
   cr_assert(links.Start().ok());
@@ -99,7 +79,7 @@
   std::function<void()> send;
   Timer timer;
   send = [&] {
-    links.Send(links.Open(At(1), Lane::Short), CancelCall{ ++sent });
+    links.Send(links.Open(LoopbackOf(1), Lane::Short), CancelCall{ ++sent });
     timer = loop.After(milliseconds(1), send);
   };
   send();
@@ -113,14 +93,14 @@
 Test(links, let_a_herd_in_by_turns)
 {
   Loop loop;
-  WebsocketLinks server(loop, At(3), Hello{ "server", At(3) }, SharedKeys(), 7);
+  WebsocketLinks server(loop, LoopbackOf(3), Hello{ "server", LoopbackOf(3) }, SharedKeys(), 7);
   Recorder recorder;
   server.AddHandler(recorder);
   cr_assert(server.Start().ok());
   // Strangers that connect and never shake hands fill all turns, until their time is over.
   std::vector<int> strangers;
   for (int i = 0; i < kHerd; ++i) {
-    strangers.push_back(ConnectTo(At(3)));
+    strangers.push_back(ConnectTo(LoopbackOf(3)));
   }
   cr_assert(RunUntil(loop, [&] { return server.Handshakes() > 0; }));
   RunFor(loop, milliseconds(100));
@@ -128,9 +108,9 @@
   for (int stranger : strangers) {
     close(stranger);
   }
-  WebsocketLinks client(loop, At(4), Hello{ "client", At(4) }, SharedKeys(), 8);
+  WebsocketLinks client(loop, LoopbackOf(4), Hello{ "client", LoopbackOf(4) }, SharedKeys(), 8);
   cr_assert(client.Start().ok());
-  client.Send(client.Open(At(3), Lane::Control), PullEntries{ 1 });
+  client.Send(client.Open(LoopbackOf(3), Lane::Control), PullEntries{ 1 });
   // The greeting and the message.
   cr_assert(RunUntil(loop, [&] { return recorder.messages == 2; }));
   cr_assert(RunUntil(loop, [&] { return server.Handshakes() == 0; }));
--- a/test/correctness/StrangersAreNotBelieved.cpp
+++ b/test/correctness/StrangersAreNotBelieved.cpp
@@ -1,11 +1,11 @@
 /// Without a key of the mesh nobody is heard by its nodes, and no node is misled into speaking.
 #include "support/Check.h"
+#include "support/Loopback.h"
 
 #include "wire/Wire.h"
 
-#include <unistd.h>
-
 using namespace dandelion;
+using namespace dandelion::testing;
 
 namespace {
 
@@ -26,18 +26,12 @@
   int unsent = 0;
 };
 
-Endpoint At(int aHost)
-{
-  return Endpoint{ fmt::format("127.{}.{}.{}", 10 + getpid() / 250 % 10, getpid() % 250, aHost),
-                   7002 };
-}
-
 /// One node with a socket for links and one for datagrams.
 class Peer
 {
 public:
   Peer(Loop& aLoop, int aHost, std::vector<std::string> aKeys)
-    : at(At(aHost))
+    : at(LoopbackOf(aHost))
     , links(aLoop, at, Hello{ fmt::format("node-{}", aHost), at }, SharedKeys(aKeys), 7)
     , datagrams(aLoop, at, SharedKeys(aKeys))
   {
@@ -61,16 +55,6 @@
   int heard = 0;
 };
 
-bool RunUntil(Loop& aLoop, const std::function<bool()>& aCondition, Duration aLimit = seconds(20))
-{
-  TimePoint limit = aLoop.Now() + aLimit;
-  while (!aCondition() && aLoop.Now() < limit) {
-    Timer turn = aLoop.After(milliseconds(10), [&] { aLoop.Stop(); });
-    aLoop.Run();
-  }
-  return aCondition();
-}
-
 /// Whether the second peer hears the first. Deaf ears are judged once a friend, who spoke later,
 /// has been heard.
 bool Hears(std::vector<std::string> aSpeakersKeys, std::vector<std::string> aListenersKeys)
--- a/test/process/ChainsKeepTheirLimits.cpp
+++ b/test/process/ChainsKeepTheirLimits.cpp
@@ -24,9 +24,7 @@
   ClusterShape shape{ 8 };
   shape.upstreamSlots = 64;
   Cluster cluster(shape);
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   CallResult call = cluster.Call(0, "GET", "/s0/x", "deep", { { "x-chain", ChainOfDepth(29) } });
   cr_assert_eq(call.outcome, "ran", "%s %s", call.outcome.c_str(), call.error.c_str());
   cr_assert_eq(call.callId, "deep");
@@ -42,9 +40,7 @@
   ClusterShape shape{ 8 };
   shape.upstreamSlots = 64;
   Cluster cluster(shape);
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   // The chain ends at a service that has no route, behind four calls that ran up to there.
   HttpHeaders headers = { { "x-chain", "s1,s0,s1,nowhere" } };
   CallResult call = cluster.Call(0, "GET", "/s0/x", "refused", headers);
@@ -60,9 +56,7 @@
 Test(chains, refuse_limits_that_cannot_be_read)
 {
   Cluster cluster(ClusterShape{ 4 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   CallResult call = cluster.Call(0, "GET", "/s0/x", "", { { "dandelion-deadline-ms", "soon" } });
   cr_assert_eq(call.status, 400);
   cr_assert_eq(call.outcome, "not-run");
--- a/test/process/NodesDieInHerds.cpp
+++ b/test/process/NodesDieInHerds.cpp
@@ -27,9 +27,7 @@
 Test(herd, that_dies_and_returns_is_never_older)
 {
   Cluster cluster(ClusterShape{ 12 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   std::mt19937 random(7);
   int version = 1;
   for (int round = 0; round < 4; ++round) {
@@ -57,9 +55,7 @@
 Test(herd, that_returns_while_the_store_is_down_takes_the_version_of_its_neighbours)
 {
   Cluster cluster(ClusterShape{ 8 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   cr_assert_eq(cluster.Submit(0, ChangeNote("second", "s0", 3)).value("state", ""), "accepted");
   cr_assert(cluster.WaitInForce(0, "second"));
   cluster.SetStoreFaults(R"({"down": true})");
@@ -78,9 +74,7 @@
 Test(herd, does_not_wait_for_members_that_are_gone)
 {
   Cluster cluster(ClusterShape{ 4, 1 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   cluster.Kill(2);
   cluster.Kill(3);
   cr_assert(cluster.WaitUntil([&] { return cluster.AliveSeenBy(0) == 2; }));
@@ -94,9 +88,7 @@
 Test(herd, of_all_nodes_serves_nothing_before_it_knows_its_version)
 {
   Cluster cluster(ClusterShape{ 4 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   cluster.SetStoreFaults(R"({"down": true})");
   for (int node = 0; node < cluster.Size(); ++node) {
     cluster.Kill(node);
--- a/test/process/NotesReachEveryNode.cpp
+++ b/test/process/NotesReachEveryNode.cpp
@@ -31,9 +31,7 @@
 Test(spreading, shows_who_is_missing)
 {
   Cluster cluster(ClusterShape{ 6 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   cluster.Freeze(5);
   cr_assert_eq(cluster.Submit(0, ChangeNote("second", "s0", 3)).value("state", ""), "accepted");
   // A frozen node may still hold the old version, so the note is not in force everywhere.
--- a/test/process/StrangersAreKeptOut.cpp
+++ b/test/process/StrangersAreKeptOut.cpp
@@ -11,8 +11,7 @@
   shape.nodeKey = "the key of the nodes";
   shape.operatorKey = "the key of the operators";
   Cluster cluster(shape);
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
+  cr_assert(cluster.StartWithFirstNote());
   cr_assert(cluster.WaitInForce(7, "first"));
   for (int i = 0; i < cluster.Size(); ++i) {
     cr_assert_eq(cluster.Call(i, "GET", "/s0/x").outcome, "ran");
--- a/test/process/WithdrawnKeepsNoTraffic.cpp
+++ b/test/process/WithdrawnKeepsNoTraffic.cpp
@@ -28,9 +28,7 @@
 Test(withdrawal, ends_traffic_and_hurts_no_other_call)
 {
   Cluster cluster(ClusterShape{ 8 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   std::vector<std::string> wrong;
   int answered = 0;
   int refused = 0;
@@ -72,9 +70,7 @@
 Test(withdrawal, holds_on_a_node_that_was_frozen_meanwhile)
 {
   Cluster cluster(ClusterShape{ 8 });
-  cluster.Start();
-  cr_assert_eq(cluster.Submit(0, cluster.FirstNote()).value("state", ""), "accepted");
-  cr_assert(cluster.WaitInForce(0, "first"));
+  cr_assert(cluster.StartWithFirstNote());
   // Node 4 stands beside an upstream of s1 and would route calls there by itself.
   cr_assert_eq(cluster.ServiceOf(4), "s1");
   cr_assert_eq(cluster.Call(4, "GET", "/s1/x").outcome, "ran");
--- a/test/property/HostileInputDoesNoHarm.cpp
+++ b/test/property/HostileInputDoesNoHarm.cpp
@@ -1,5 +1,6 @@
 /// Damaged input at each edge gives a clear error or a sound value, and the edge goes on working.
 #include "support/Check.h"
+#include "support/Loopback.h"
 #include "support/Mutate.h"
 
 #include "dandeliond/NodeSettings.h"
@@ -34,18 +35,6 @@
 constexpr char kHttpCall[] = "POST /s0/x?a=b HTTP/1.1\r\nHost: 10.0.0.1:7001\r\n"
                              "Content-Length: 5\r\ndandelion-deadline-ms: 500\r\n\r\nhello";
 
-Endpoint At(int aHost)
-{
-  return Endpoint{ fmt::format("127.{}.{}.{}", 10 + getpid() / 250 % 10, getpid() % 250, aHost),
-                   7001 };
-}
-
-void RunFor(Loop& aLoop, Duration aTime)
-{
-  Timer end = aLoop.After(aTime, [&] { aLoop.Stop(); });
-  aLoop.Run();
-}
-
 /// Sends bytes on a connection of their own and closes it.
 void SendRaw(Loop& aLoop, const Endpoint& aServer, const std::string& aBytes)
 {
@@ -119,14 +108,16 @@
     ++served;
     aExchange->Reply(HttpResponse{ 200, {}, aExchange->Request().body });
   });
-  cr_assert(server.Listen(At(1), HttpLimits()).ok());
-  CHECK_PROPERTY("damaged requests", [&] { SendRaw(loop, At(1), Mutate(std::string(kHttpCall))); });
+  cr_assert(server.Listen(LoopbackOf(1), HttpLimits()).ok());
+  CHECK_PROPERTY("damaged requests",
+                 [&] { SendRaw(loop, LoopbackOf(1), Mutate(std::string(kHttpCall))); });
   HttpClient client(loop);
   HttpResult result;
-  client.Send(At(1), HttpRequest{ "POST", "/x", {}, "whole" }, seconds(20), [&](const auto& aIt) {
-    result = aIt;
-    loop.Stop();
-  });
+  client.Send(
+    LoopbackOf(1), HttpRequest{ "POST", "/x", {}, "whole" }, seconds(20), [&](const auto& aIt) {
+      result = aIt;
+      loop.Stop();
+    });
   loop.Run();
   cr_assert(result.outcome == HttpOutcome::Answered);
   cr_assert_eq(result.response.body, "whole");
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -125,6 +125,12 @@
   }
 }
 
+bool Cluster::StartWithFirstNote()
+{
+  Start();
+  return Submit(0, FirstNote()).value("state", "") == "accepted" && WaitInForce(0, "first");
+}
+
 std::string Cluster::IdOf(int aNode) const
 {
   return fmt::format("node-{}", aNode);
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -53,6 +53,10 @@
   /// Starts all processes and waits until every node knows every other.
   void Start();
 
+  /// The same, then submits `FirstNote` through the first node; false unless it is accepted and
+  /// comes in force everywhere.
+  bool StartWithFirstNote();
+
   int Size() const { return shape_.nodes; }
   Endpoint Operators(int aNode) const { return { IpOf(aNode), 7003 }; }
   Endpoint FrontOf(int aNode) const { return { IpOf(aNode), 7001 }; }
