--- a/test/property/MessagesSurviveTheWire.cpp
+++ b/test/property/MessagesSurviveTheWire.cpp
@@ -55,6 +55,13 @@
       RC_ASSERT(KindOf(decoded.status()) == ErrorKind::BrokenMessage);
     }
   });
+  CHECK_PROPERTY("mutated fragments", [] {
+    Fragment fragment{ 7, false, Bytes{ *rc::gen::arbitrary<std::string>() } };
+    auto decoded = Decode<LinkFrame>(Mutate(Encode(LinkFrame(fragment))));
+    if (!decoded.ok()) {
+      RC_ASSERT(KindOf(decoded.status()) == ErrorKind::BrokenMessage);
+    }
+  });
   CHECK_PROPERTY("arbitrary datagrams", [] {
     auto decoded = Decode<Datagram>(*rc::gen::arbitrary<std::string>());
     if (!decoded.ok()) {
