A count of calls is compared as the number that it is

Cause: lint's new verdict found a comparison of a signed with an unsigned count in a test; the compiler's own warnings passed it. Change: a cast; the check is the same.

--- a/test/process/ChainsKeepTheirLimits.cpp
+++ b/test/process/ChainsKeepTheirLimits.cpp
@@ -50,7 +50,7 @@
     begun += cluster.JournalOf(i).size();
   }
   // Only the level nearest to the refusal makes more than one attempt.
-  cr_assert_leq(begun, 3 + PolicySpec().attempts);
+  cr_assert_leq(static_cast<int64_t>(begun), 3 + PolicySpec().attempts);
 }
 
 Test(chains, refuse_limits_that_cannot_be_read)
