HTTP over http_parser on bufferevents in place of evhttp

Cause: evhttp cannot pass over an extra response, keeps no bound on how long a connection was idle before its reuse, and stops reading while a request waits. Change: HttpMessageParser reads messages; HttpServer and HttpClient keep their interfaces. A response that ends early is never complete; a foreign or late response is passed over and its connection is not used again; requests framed two ways are refused by the parser before a handler sees them.

--- a/src/wire/Http.h
+++ b/src/wire/Http.h
@@ -1,4 +1,4 @@
-/// HTTP over libevent's evhttp: requests, responses, a server and a client.
+/// HTTP/1.1 over libevent's sockets and http_parser: requests, responses, a server and a client.
 #ifndef DANDELION_WIRE_HTTP_H
 #define DANDELION_WIRE_HTTP_H
 
@@ -12,9 +12,8 @@
 #include <utility>
 #include <vector>
 
-struct evhttp;
-struct evhttp_bound_socket;
-struct evhttp_request;
+struct bufferevent;
+struct evconnlistener;
 
 namespace dandelion {
 
@@ -61,7 +60,10 @@
 {
   size_t mostHeaderBytes = 32 * 1024;
   size_t mostBodyBytes = 8 * 1024 * 1024;
+  /// Longest time that a connection stays open between two requests.
   Duration idleTime = seconds(120);
+  /// Longest time from the first byte of a request to the end of its head.
+  Duration headTime = seconds(30);
 };
 
 class HttpServer
@@ -73,17 +75,35 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   absl::Status Listen(const Endpoint& aEndpoint, const HttpLimits& aLimits);
-  /// Takes no new connections; exchanges in progress go on.
+  /// Limits of the requests that begin from now on.
+  void SetLimits(const HttpLimits& aLimits) { limits_ = aLimits; }
+  /// Answers say from now on that their connection closes.
+  void BeginClosing() { isClosing_ = true; }
+  /// Takes no new connections and closes idle ones; exchanges in progress go on.
   void StopListening();
+  /// Connections that have been read from in part or wait for a response.
+  size_t Busy() const;
 
 private:
+  class Connection;
   class Exchange;
-  static void OnRequest(evhttp_request* aRequest, void* aContext);
+  using ConnectionId = uint64_t;
+
+  void Accept(int aSocket);
+  void Close(ConnectionId aId);
+  void Sweep();
 
   Loop& loop_;
   HttpHandler handler_;
-  evhttp* server_;
-  evhttp_bound_socket* socket_ = nullptr;
+  HttpLimits limits_;
+  evconnlistener* listener_ = nullptr;
+  bool isClosing_ = false;
+  ConnectionId nextId_ = 1;
+  std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
+  /// Closed connections, kept until their callbacks have returned.
+  std::vector<std::unique_ptr<Connection>> closed_;
+  Timer burial_;
+  Timer sweep_;
 };
 
 /// What became of a request to a server.
@@ -102,6 +122,18 @@
   HttpResponse response;
 };
 
+/// How a request is sent.
+struct HttpSendOptions
+{
+  Duration timeLimit = seconds(10);
+  /// A kept connection is reused only if it was idle for less. Its server may be closing one that
+  /// was idle for long, and then nobody knows whether the request arrived.
+  Duration mostIdle = seconds(4);
+  /// Whether a response belongs to the request. One that does not is passed over, and its
+  /// connection is not used again.
+  std::function<bool(int aStatus, const HttpHeaders&)> isOwn = {};
+};
+
 /// A client that keeps connections to each server for reuse.
 class HttpClient
 {
@@ -116,6 +148,10 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Sends a request. The result comes once, from the loop, within the time limit.
+  RequestId Send(const Endpoint& aServer,
+                 const HttpRequest& aRequest,
+                 const HttpSendOptions& aOptions,
+                 OnResult aOnResult);
   RequestId Send(const Endpoint& aServer,
                  const HttpRequest& aRequest,
                  Duration aTimeLimit,
@@ -130,23 +166,31 @@
   /// Drops a request and its connection; no result comes.
   void Cancel(RequestId aId);
 
+  /// Connections that were opened since the start.
+  uint64_t Opened() const { return opened_; }
+
 private:
+  class Connection;
   struct Pending;
-  struct IdleConnections;
+
   RequestId Begin(const Endpoint& aServer,
                   const HttpRequest& aRequest,
+                  Duration aMostIdle,
                   std::unique_ptr<Pending> aPending);
-  void Finish(RequestId aId, evhttp_request* aResponse);
-  void Bury(std::unique_ptr<Pending> aPending);
-  static void OnResponse(evhttp_request* aRequest, void* aContext);
-  static void OnPartial(evhttp_request* aRequest, void* aContext);
+  std::unique_ptr<Connection> TakeIdle(const Endpoint& aServer, Duration aMostIdle);
+  void Keep(std::unique_ptr<Connection> aConnection);
+  void DropIdle(Connection* aConnection);
+  void Finish(RequestId aId, HttpResult aResult);
+  void FinishSoon(RequestId aId);
+  void Bury(std::unique_ptr<Connection> aConnection);
 
   Loop& loop_;
   RequestId nextId_ = 1;
+  uint64_t opened_ = 0;
   std::map<RequestId, std::unique_ptr<Pending>> pending_;
-  std::unique_ptr<IdleConnections> idle_;
-  /// Requests that have ended, until evhttp has returned from their callbacks.
-  std::vector<std::unique_ptr<Pending>> buried_;
+  std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle_;
+  /// Connections that have ended, until libevent has returned from their callbacks.
+  std::vector<std::unique_ptr<Connection>> buried_;
   Timer burial_;
 };
 
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -1,68 +1,263 @@
-#include "wire/Http.h"
-
-#include "wire/HttpShared.h"
+#include "wire/HttpMessageParser.h"
+#include "wire/SocketAddress.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
-#include <deque>
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+#include <algorithm>
 
 namespace dandelion {
 
 namespace {
 
 constexpr size_t kMostIdlePerServer = 64;
-constexpr ev_ssize_t kMostResponseBytes = 16 * 1024 * 1024;
-constexpr int kNoTimeLimitSeconds = 24 * 3600;
+constexpr size_t kMostResponseBytes = 16 * 1024 * 1024;
+/// A connection is given up this long before its server says that it closes it.
+constexpr Duration kKeepAliveMargin = milliseconds(500);
 
-struct ConnectionDeleter
+HttpLimits ResponseLimits()
 {
-  void operator()(evhttp_connection* aConnection) const { evhttp_connection_free(aConnection); }
-};
-using Connection = std::unique_ptr<evhttp_connection, ConnectionDeleter>;
+  HttpLimits limits;
+  limits.mostBodyBytes = kMostResponseBytes;
+  return limits;
+}
 
-void OnOutput(evbuffer* /* aBuffer */, const evbuffer_cb_info* aInfo, void* aContext)
+/// For how long the server keeps an idle connection, where its response says so.
+std::optional<Duration> AnnouncedIdleTime(const HttpHeaders& aHeaders)
 {
-  if (aInfo->n_deleted > 0) {
-    *static_cast<bool*>(aContext) = true;
+  std::string announced = FindHeader(aHeaders, "Keep-Alive");
+  for (absl::string_view part : absl::StrSplit(announced, ',')) {
+    part = absl::StripAsciiWhitespace(part);
+    int64_t timeout = 0;
+    if (absl::ConsumePrefix(&part, "timeout=") && absl::SimpleAtoi(part, &timeout)) {
+      return seconds(std::max<int64_t>(0, timeout));
+    }
   }
+  return std::nullopt;
 }
 
-} // namespace
-
-struct HttpClient::IdleConnections
+std::string ToBytes(const HttpRequest& aRequest, const Endpoint& aServer)
 {
-  std::map<Endpoint, std::deque<Connection>> byServer;
-};
+  std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", aRequest.method, aRequest.target);
+  for (const auto& [name, value] : aRequest.headers) {
+    bytes += fmt::format("{}: {}\r\n", name, value);
+  }
+  if (FindHeader(aRequest.headers, "Host").empty()) {
+    bytes += fmt::format("Host: {}\r\n", ToText(aServer));
+  }
+  bool hasBody = !aRequest.body.empty() || aRequest.method == "POST" || aRequest.method == "PUT" ||
+                 aRequest.method == "PATCH";
+  if (hasBody) {
+    bytes += fmt::format("Content-Length: {}\r\n", aRequest.body.size());
+  }
+  bytes += "\r\n";
+  bytes += aRequest.body;
+  return bytes;
+}
+
+} // namespace
 
 struct HttpClient::Pending
 {
-  HttpClient* client = nullptr;
-  RequestId id = 0;
-  Endpoint server;
-  Connection connection;
-  /// Set when bytes have left the output buffer for the socket.
-  bool hasSent = false;
-  evbuffer_cb_entry* outputWatch = nullptr;
+  std::unique_ptr<Connection> connection;
+  bool isHead = false;
+  bool isStream = false;
+  bool isForeign = false;
+  std::function<bool(int, const HttpHeaders&)> isOwn;
   Timer limit;
   OnResult onResult;
   OnChunk onChunk;
+};
 
-  evbuffer* Output() const
+/// One connection to a server, idle or with one request on it.
+class HttpClient::Connection
+{
+public:
+  Connection(HttpClient& aClient, Endpoint aServer)
+    : client_(aClient)
+    , server_(std::move(aServer))
+    , socket_(bufferevent_socket_new(aClient.loop_.Base(), -1, BEV_OPT_CLOSE_ON_FREE))
+    , parser_(HttpSide::Response, ResponseLimits())
+  {
+    bufferevent_setcb(
+      socket_, &Connection::OnReadable, nullptr, &Connection::OnSocketEvent, this);
+    evbuffer_add_cb(bufferevent_get_output(socket_), &Connection::OnOutput, this);
+    bufferevent_enable(socket_, EV_READ | EV_WRITE);
+    sockaddr_in address = ToSocketAddress(server_);
+    hasFailed_ = bufferevent_socket_connect(
+                   socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0;
+  }
+  ~Connection() { bufferevent_free(socket_); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void Begin(RequestId aId, Pending& aPending, std::string_view aBytes)
+  {
+    request_ = aId;
+    pending_ = &aPending;
+    hasSent_ = false;
+    parser_.Reset(aPending.isHead);
+    bufferevent_write(socket_, aBytes.data(), aBytes.size());
+  }
+  void Rest(TimePoint aNow)
+  {
+    request_ = 0;
+    pending_ = nullptr;
+    idleSince_ = aNow;
+  }
+  void Shut()
   {
-    return bufferevent_get_output(evhttp_connection_get_bufferevent(connection.get()));
+    bufferevent_disable(socket_, EV_READ | EV_WRITE);
+    bufferevent_setcb(socket_, nullptr, nullptr, nullptr, nullptr);
+    pending_ = nullptr;
   }
-  void Unwatch()
+  bool IsUsable(TimePoint aNow, Duration aMostIdle) const
+  {
+    Duration most = aMostIdle;
+    if (announced_.has_value()) {
+      most = std::min(most, *announced_ - kKeepAliveMargin);
+    }
+    return aNow - idleSince_ < most;
+  }
+  const Endpoint& Server() const { return server_; }
+  bool HasFailed() const { return hasFailed_; }
+  bool HasSent() const { return hasSent_; }
+
+private:
+  static void OnOutput(evbuffer* /* aBuffer */, const evbuffer_cb_info* aInfo, void* aContext)
   {
-    if (outputWatch != nullptr && connection != nullptr) {
-      evbuffer_remove_cb_entry(Output(), std::exchange(outputWatch, nullptr));
+    if (aInfo->n_deleted > 0) {
+      static_cast<Connection*>(aContext)->hasSent_ = true;
     }
   }
+  static void OnReadable(bufferevent* /* aSocket */, void* aContext)
+  {
+    static_cast<Connection*>(aContext)->Read();
+  }
+  static void OnSocketEvent(bufferevent* /* aSocket */, short aEvents, void* aContext)
+  {
+    auto* self = static_cast<Connection*>(aContext);
+    if ((aEvents & BEV_EVENT_CONNECTED) != 0) {
+      DisableNagle(bufferevent_getfd(self->socket_));
+      return;
+    }
+    self->OnEnd((aEvents & BEV_EVENT_EOF) != 0);
+  }
+
+  void Read();
+  void OnEnd(bool aIsOrderly);
+  bool PassOver();
+  void HandOnBody();
+  void Succeed(bool aKeeps);
+  void Fail() { client_.Finish(request_, HttpResult{ HttpOutcome::Lost, {} }); }
+
+  HttpClient& client_;
+  Endpoint server_;
+  bufferevent* socket_;
+  HttpMessageParser parser_;
+  RequestId request_ = 0;
+  Pending* pending_ = nullptr;
+  bool hasSent_ = false;
+  bool hasFailed_ = false;
+  TimePoint idleSince_;
+  std::optional<Duration> announced_;
 };
 
+void HttpClient::Connection::Read()
+{
+  if (pending_ == nullptr) {
+    // Nothing was asked, so these bytes answer nothing.
+    client_.DropIdle(this);
+    return;
+  }
+  evbuffer* input = bufferevent_get_input(socket_);
+  while (evbuffer_get_length(input) > 0) {
+    size_t contiguous = evbuffer_get_contiguous_space(input);
+    const char* bytes = reinterpret_cast<const char*>(
+      evbuffer_pullup(input, static_cast<ev_ssize_t>(contiguous)));
+    evbuffer_drain(input, parser_.Feed(bytes, contiguous));
+    if (parser_.Fault() != HttpFault::None) {
+      Fail();
+      return;
+    }
+    HandOnBody();
+    if (parser_.IsComplete() && !PassOver()) {
+      bool isClean = evbuffer_get_length(input) == 0 &&
+                     evbuffer_get_length(bufferevent_get_output(socket_)) == 0;
+      Succeed(isClean && parser_.KeepsAlive());
+      return;
+    }
+  }
+}
+
+/// Passes over an interim response, and over one that answers another request.
+bool HttpClient::Connection::PassOver()
+{
+  constexpr int kFirstFinalStatus = 200;
+  bool isInterim = parser_.Status() < kFirstFinalStatus;
+  bool isForeign =
+    !isInterim && pending_->isOwn && !pending_->isOwn(parser_.Status(), parser_.Headers());
+  if (!isInterim && !isForeign) {
+    return false;
+  }
+  pending_->isForeign = pending_->isForeign || isForeign;
+  parser_.Reset(pending_->isHead);
+  return true;
+}
+
+void HttpClient::Connection::HandOnBody()
+{
+  if (!pending_->isStream || !parser_.HasHead()) {
+    return;
+  }
+  std::string body = parser_.TakeBody();
+  if (!body.empty()) {
+    // The callback may cancel the request and with it the callback itself.
+    OnChunk onChunk = pending_->onChunk;
+    onChunk(body);
+  }
+}
+
+void HttpClient::Connection::Succeed(bool aKeeps)
+{
+  HttpResult result{ HttpOutcome::Answered, parser_.TakeResponse() };
+  announced_ = AnnouncedIdleTime(result.response.headers);
+  RequestId id = request_;
+  bool keeps = aKeeps && !pending_->isForeign;
+  auto found = client_.pending_.find(id);
+  std::unique_ptr<Connection> self = std::move(found->second->connection);
+  if (keeps) {
+    client_.Keep(std::move(self));
+  } else {
+    client_.Bury(std::move(self));
+  }
+  client_.Finish(id, std::move(result));
+}
+
+void HttpClient::Connection::OnEnd(bool aIsOrderly)
+{
+  if (pending_ == nullptr) {
+    client_.DropIdle(this);
+    return;
+  }
+  if (aIsOrderly && parser_.HasHead()) {
+    parser_.FeedEnd();
+    if (parser_.IsComplete() && !PassOver()) {
+      Succeed(false);
+      return;
+    }
+  }
+  HttpOutcome outcome = hasSent_ ? HttpOutcome::Lost : HttpOutcome::NotSent;
+  client_.Finish(request_, HttpResult{ outcome, {} });
+}
+
 HttpClient::HttpClient(Loop& aLoop)
   : loop_(aLoop)
-  , idle_(std::make_unique<IdleConnections>())
 {
 }
 
@@ -71,19 +266,29 @@
   while (!pending_.empty()) {
     Cancel(pending_.begin()->first);
   }
-  buried_.clear();
 }
 
 HttpClient::RequestId HttpClient::Send(const Endpoint& aServer,
                                        const HttpRequest& aRequest,
                                        Duration aTimeLimit,
                                        OnResult aOnResult)
+{
+  HttpSendOptions options;
+  options.timeLimit = aTimeLimit;
+  return Send(aServer, aRequest, options, std::move(aOnResult));
+}
+
+HttpClient::RequestId HttpClient::Send(const Endpoint& aServer,
+                                       const HttpRequest& aRequest,
+                                       const HttpSendOptions& aOptions,
+                                       OnResult aOnResult)
 {
   auto pending = std::make_unique<Pending>();
   pending->onResult = std::move(aOnResult);
+  pending->isOwn = aOptions.isOwn;
   RequestId id = nextId_;
-  pending->limit = loop_.After(aTimeLimit, [this, id] { Finish(id, nullptr); });
-  return Begin(aServer, aRequest, std::move(pending));
+  pending->limit = loop_.After(aOptions.timeLimit, [this, id] { FinishSoon(id); });
+  return Begin(aServer, aRequest, aOptions.mostIdle, std::move(pending));
 }
 
 HttpClient::RequestId HttpClient::Stream(const Endpoint& aServer,
@@ -92,101 +297,106 @@
                                          OnResult aOnEnd)
 {
   auto pending = std::make_unique<Pending>();
+  pending->isStream = true;
   pending->onChunk = std::move(aOnChunk);
   pending->onResult = std::move(aOnEnd);
-  return Begin(aServer, aRequest, std::move(pending));
+  return Begin(aServer, aRequest, HttpSendOptions().mostIdle, std::move(pending));
 }
 
 HttpClient::RequestId HttpClient::Begin(const Endpoint& aServer,
                                         const HttpRequest& aRequest,
+                                        Duration aMostIdle,
                                         std::unique_ptr<Pending> aPending)
 {
   RequestId id = nextId_++;
   Pending& pending = *aPending;
-  pending.client = this;
-  pending.id = id;
-  pending.server = aServer;
-  std::deque<Connection>& idle = idle_->byServer[aServer];
-  if (!idle.empty()) {
-    pending.connection = std::move(idle.back());
-    idle.pop_back();
-  } else {
-    pending.connection.reset(
-      evhttp_connection_base_new(loop_.Base(), nullptr, aServer.ip.c_str(), aServer.port));
-    evhttp_connection_set_max_body_size(pending.connection.get(), kMostResponseBytes);
-    evhttp_connection_set_timeout(pending.connection.get(), kNoTimeLimitSeconds);
+  pending.isHead = aRequest.method == "HEAD";
+  pending.connection = TakeIdle(aServer, aMostIdle);
+  if (pending.connection == nullptr) {
+    ++opened_;
+    pending.connection = std::make_unique<Connection>(*this, aServer);
   }
   pending_[id] = std::move(aPending);
-  pending.outputWatch = evbuffer_add_cb(pending.Output(), &OnOutput, &pending.hasSent);
-
-  evhttp_request* request = evhttp_request_new(&HttpClient::OnResponse, &pending);
-  if (pending.onChunk) {
-    evhttp_request_set_chunked_cb(request, &HttpClient::OnPartial);
+  pending.connection->Begin(id, pending, ToBytes(aRequest, aServer));
+  if (pending.connection->HasFailed()) {
+    // The result must come from the loop, not from within this call.
+    pending.limit = loop_.After(Duration::zero(), [this, id] { FinishSoon(id); });
   }
-  evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  for (const auto& [name, value] : aRequest.headers) {
-    evhttp_add_header(headers, name.c_str(), value.c_str());
-  }
-  if (evhttp_find_header(headers, "Host") == nullptr) {
-    evhttp_add_header(headers, "Host", ToText(aServer).c_str());
+  return id;
+}
+
+std::unique_ptr<HttpClient::Connection> HttpClient::TakeIdle(const Endpoint& aServer,
+                                                             Duration aMostIdle)
+{
+  auto found = idle_.find(aServer);
+  if (found == idle_.end()) {
+    return nullptr;
   }
-  evbuffer_add(
-    evhttp_request_get_output_buffer(request), aRequest.body.data(), aRequest.body.size());
-  evhttp_cmd_type command = MethodCommand(aRequest.method).value_or(EVHTTP_REQ_GET);
-  // On failure evhttp has freed the request; the result must still come from the loop.
-  if (evhttp_make_request(pending.connection.get(), request, command, aRequest.target.c_str()) !=
-      0) {
-    pending.limit = loop_.After(Duration::zero(), [this, id] { Finish(id, nullptr); });
+  TimePoint now = loop_.Now();
+  auto& connections = found->second;
+  // The one used last is at the end; where it is too old, all are.
+  while (!connections.empty()) {
+    std::unique_ptr<Connection> connection = std::move(connections.back());
+    connections.pop_back();
+    if (connection->IsUsable(now, aMostIdle)) {
+      return connection;
+    }
+    if (connection->IsUsable(now, HttpSendOptions().mostIdle)) {
+      // Too old for this request, good enough for another.
+      connections.push_back(std::move(connection));
+      return nullptr;
+    }
+    Bury(std::move(connection));
   }
-  return id;
+  return nullptr;
 }
 
-void HttpClient::Cancel(RequestId aId)
+void HttpClient::Keep(std::unique_ptr<Connection> aConnection)
 {
-  auto found = pending_.find(aId);
-  if (found == pending_.end()) {
+  auto& connections = idle_[aConnection->Server()];
+  if (connections.size() >= kMostIdlePerServer) {
+    Bury(std::move(aConnection));
     return;
   }
-  std::unique_ptr<Pending> pending = std::move(found->second);
-  pending_.erase(found);
-  Bury(std::move(pending));
+  aConnection->Rest(loop_.Now());
+  connections.push_back(std::move(aConnection));
 }
 
-void HttpClient::Bury(std::unique_ptr<Pending> aPending)
+void HttpClient::DropIdle(Connection* aConnection)
 {
-  // evhttp may be inside a callback of this request and still use its connection, so both live
-  // on until the loop turns. Without a client the callbacks do nothing.
-  aPending->Unwatch();
-  aPending->client = nullptr;
-  aPending->limit.Cancel();
-  buried_.push_back(std::move(aPending));
-  if (!burial_.IsPending()) {
-    burial_ = loop_.After(Duration::zero(), [this] {
-      buried_.clear();
-      burial_.Cancel();
-    });
+  auto& connections = idle_[aConnection->Server()];
+  auto isThis = [&](const auto& aOther) { return aOther.get() == aConnection; };
+  auto found = std::find_if(connections.begin(), connections.end(), isThis);
+  if (found != connections.end()) {
+    std::unique_ptr<Connection> dropped = std::move(*found);
+    connections.erase(found);
+    Bury(std::move(dropped));
   }
 }
 
-void HttpClient::OnPartial(evhttp_request* aRequest, void* aContext)
+void HttpClient::Cancel(RequestId aId)
 {
-  auto* pending = static_cast<Pending*>(aContext);
-  std::string chunk = TakeBody(evhttp_request_get_input_buffer(aRequest));
-  if (pending->client != nullptr && pending->onChunk) {
-    auto onChunk = pending->onChunk;
-    onChunk(chunk);
+  auto found = pending_.find(aId);
+  if (found == pending_.end()) {
+    return;
+  }
+  std::unique_ptr<Pending> pending = std::move(found->second);
+  pending_.erase(found);
+  if (pending->connection != nullptr) {
+    Bury(std::move(pending->connection));
   }
 }
 
-void HttpClient::OnResponse(evhttp_request* aRequest, void* aContext)
+void HttpClient::FinishSoon(RequestId aId)
 {
-  auto* pending = static_cast<Pending*>(aContext);
-  if (pending->client != nullptr) {
-    pending->client->Finish(pending->id, aRequest);
+  auto found = pending_.find(aId);
+  if (found != pending_.end()) {
+    bool hasSent = found->second->connection->HasSent();
+    Finish(aId, HttpResult{ hasSent ? HttpOutcome::Lost : HttpOutcome::NotSent, {} });
   }
 }
 
-void HttpClient::Finish(RequestId aId, evhttp_request* aResponse)
+void HttpClient::Finish(RequestId aId, HttpResult aResult)
 {
   auto found = pending_.find(aId);
   if (found == pending_.end()) {
@@ -194,25 +404,24 @@
   }
   std::unique_ptr<Pending> pending = std::move(found->second);
   pending_.erase(found);
-  HttpResult result;
-  bool isAnswered = aResponse != nullptr && evhttp_request_get_response_code(aResponse) != 0;
-  if (isAnswered) {
-    result.outcome = HttpOutcome::Answered;
-    result.response.status = evhttp_request_get_response_code(aResponse);
-    result.response.headers = ReadHeaders(evhttp_request_get_input_headers(aResponse));
-    result.response.body = TakeBody(evhttp_request_get_input_buffer(aResponse));
-  } else {
-    result.outcome = pending->hasSent ? HttpOutcome::Lost : HttpOutcome::NotSent;
+  if (pending->connection != nullptr) {
+    Bury(std::move(pending->connection));
   }
-  pending->Unwatch();
-  std::deque<Connection>& idle = idle_->byServer[pending->server];
-  bool isClosing = FindHeader(result.response.headers, "Connection") == "close";
-  if (isAnswered && !isClosing && idle.size() < kMostIdlePerServer) {
-    idle.push_back(std::move(pending->connection));
+  pending->limit.Cancel();
+  pending->onResult(aResult);
+}
+
+void HttpClient::Bury(std::unique_ptr<Connection> aConnection)
+{
+  // libevent may be inside a callback of this connection, so it lives on until the loop turns.
+  aConnection->Shut();
+  buried_.push_back(std::move(aConnection));
+  if (!burial_.IsPending()) {
+    burial_ = loop_.After(Duration::zero(), [this] {
+      burial_.Cancel();
+      buried_.clear();
+    });
   }
-  OnResult onResult = std::move(pending->onResult);
-  Bury(std::move(pending));
-  onResult(result);
 }
 
 } // namespace dandelion
--- /dev/null
+++ b/src/wire/HttpMessageParser.cpp
@@ -0,0 +1,170 @@
+#include "wire/HttpMessageParser.h"
+
+namespace dandelion {
+
+HttpMessageParser::HttpMessageParser(HttpSide aSide, const HttpLimits& aLimits)
+  : side_(aSide)
+  , limits_(aLimits)
+{
+  Reset();
+}
+
+void HttpMessageParser::Reset(bool aIsAnswerToHead)
+{
+  http_parser_init(&parser_, side_ == HttpSide::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  isAnswerToHead_ = aIsAnswerToHead;
+  hasBegun_ = hasHead_ = isComplete_ = hasValue_ = false;
+  keepsAlive_ = true;
+  fault_ = HttpFault::None;
+  headBytes_ = bodyBytes_ = 0;
+  target_.clear();
+  name_.clear();
+  value_.clear();
+  headers_.clear();
+  body_.clear();
+}
+
+HttpMessageParser& HttpMessageParser::Self(http_parser* aParser)
+{
+  return *static_cast<HttpMessageParser*>(aParser->data);
+}
+
+http_parser_settings HttpMessageParser::MakeCallbacks()
+{
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_message_begin = [](http_parser* aParser) {
+    Self(aParser).hasBegun_ = true;
+    return 0;
+  };
+  settings.on_url = [](http_parser* aParser, const char* aBytes, size_t aCount) {
+    HttpMessageParser& self = Self(aParser);
+    self.target_.append(aBytes, aCount);
+    return self.CountHead(aCount) ? 0 : 1;
+  };
+  settings.on_header_field = [](http_parser* aParser, const char* aBytes, size_t aCount) {
+    HttpMessageParser& self = Self(aParser);
+    if (self.hasValue_) {
+      self.AddHeader();
+    }
+    self.name_.append(aBytes, aCount);
+    return self.CountHead(aCount) ? 0 : 1;
+  };
+  settings.on_header_value = [](http_parser* aParser, const char* aBytes, size_t aCount) {
+    HttpMessageParser& self = Self(aParser);
+    self.hasValue_ = true;
+    self.value_.append(aBytes, aCount);
+    return self.CountHead(aCount) ? 0 : 1;
+  };
+  settings.on_headers_complete = [](http_parser* aParser) {
+    return Self(aParser).OnHeadComplete();
+  };
+  settings.on_body = [](http_parser* aParser, const char* aBytes, size_t aCount) {
+    HttpMessageParser& self = Self(aParser);
+    self.bodyBytes_ += aCount;
+    if (self.bodyBytes_ > self.limits_.mostBodyBytes) {
+      self.fault_ = HttpFault::BodyTooLarge;
+      return 1;
+    }
+    self.body_.append(aBytes, aCount);
+    return 0;
+  };
+  settings.on_message_complete = [](http_parser* aParser) {
+    HttpMessageParser& self = Self(aParser);
+    self.isComplete_ = true;
+    self.keepsAlive_ = http_should_keep_alive(aParser) != 0;
+    // What follows belongs to the next message.
+    http_parser_pause(aParser, 1);
+    return 0;
+  };
+  return settings;
+}
+
+void HttpMessageParser::AddHeader()
+{
+  // The value may be followed by blanks that are no part of it.
+  size_t end = value_.find_last_not_of(" \t");
+  value_.resize(end == std::string::npos ? 0 : end + 1);
+  headers_.emplace_back(std::move(name_), std::move(value_));
+  name_.clear();
+  value_.clear();
+  hasValue_ = false;
+}
+
+bool HttpMessageParser::CountHead(size_t aBytes)
+{
+  headBytes_ += aBytes;
+  if (headBytes_ > limits_.mostHeaderBytes) {
+    fault_ = HttpFault::HeadTooLarge;
+    return false;
+  }
+  return true;
+}
+
+int HttpMessageParser::OnHeadComplete()
+{
+  if (hasValue_ || !name_.empty()) {
+    AddHeader();
+  }
+  hasHead_ = true;
+  bool isTooLong = parser_.content_length != ULLONG_MAX &&
+                   (parser_.flags & F_CHUNKED) == 0 &&
+                   parser_.content_length > limits_.mostBodyBytes;
+  if (isTooLong) {
+    fault_ = HttpFault::BodyTooLarge;
+    return -1;
+  }
+  constexpr int kNoBody = 1;
+  return isAnswerToHead_ ? kNoBody : 0;
+}
+
+size_t HttpMessageParser::Feed(const char* aBytes, size_t aCount)
+{
+  static const http_parser_settings kCallbacks = MakeCallbacks();
+  size_t taken = http_parser_execute(&parser_, &kCallbacks, aBytes, aCount);
+  http_errno error = HTTP_PARSER_ERRNO(&parser_);
+  bool isBroken = error != HPE_OK && error != HPE_PAUSED;
+  // Bytes of another protocol are no message either.
+  isBroken = isBroken || (side_ == HttpSide::Response && parser_.upgrade != 0);
+  if (isBroken && fault_ == HttpFault::None) {
+    fault_ = error == HPE_HEADER_OVERFLOW ? HttpFault::HeadTooLarge : HttpFault::Malformed;
+  }
+  return taken;
+}
+
+void HttpMessageParser::FeedEnd()
+{
+  if (!isComplete_ && fault_ == HttpFault::None) {
+    Feed("", 0);
+    if (!isComplete_) {
+      fault_ = HttpFault::Malformed;
+    }
+  }
+}
+
+bool HttpMessageParser::ExpectsContinue() const
+{
+  return hasHead_ && !isComplete_ && !FindHeader(headers_, "Expect").empty();
+}
+
+HttpRequest HttpMessageParser::TakeRequest()
+{
+  HttpRequest request;
+  request.method = http_method_str(static_cast<http_method>(parser_.method));
+  request.target = std::move(target_);
+  request.headers = std::move(headers_);
+  request.body = TakeBody();
+  return request;
+}
+
+HttpResponse HttpMessageParser::TakeResponse()
+{
+  HttpResponse response;
+  response.status = Status();
+  response.headers = std::move(headers_);
+  response.body = TakeBody();
+  return response;
+}
+
+} // namespace dandelion
--- /dev/null
+++ b/src/wire/HttpMessageParser.h
@@ -0,0 +1,84 @@
+/// Reads HTTP/1.1 messages from bytes, over the http_parser library. Internal to the library.
+#ifndef DANDELION_WIRE_HTTP_MESSAGE_PARSER_H
+#define DANDELION_WIRE_HTTP_MESSAGE_PARSER_H
+
+#include "wire/Http.h"
+
+#include <http_parser.h>
+
+namespace dandelion {
+
+enum class HttpSide
+{
+  Request,
+  Response,
+};
+
+/// Why a message cannot be read.
+enum class HttpFault
+{
+  None,
+  Malformed,
+  HeadTooLarge,
+  BodyTooLarge,
+};
+
+class HttpMessageParser
+{
+public:
+  HttpMessageParser(HttpSide aSide, const HttpLimits& aLimits);
+  HttpMessageParser(const HttpMessageParser&) = delete;
+  HttpMessageParser& operator=(const HttpMessageParser&) = delete;
+
+  /// Takes bytes up to the end of one message; the rest is the caller's to keep. Returns how many
+  /// were taken.
+  size_t Feed(const char* aBytes, size_t aCount);
+  /// The connection has ended in order. A response without a length is complete then.
+  void FeedEnd();
+  /// Gets ready for the next message. `aIsAnswerToHead`: the response has a head only.
+  void Reset(bool aIsAnswerToHead = false);
+
+  bool HasBegun() const { return hasBegun_; }
+  bool HasHead() const { return hasHead_; }
+  bool IsComplete() const { return isComplete_; }
+  HttpFault Fault() const { return fault_; }
+  /// The connection may carry another message after this one.
+  bool KeepsAlive() const { return keepsAlive_; }
+  bool ExpectsContinue() const;
+
+  HttpRequest TakeRequest();
+  HttpResponse TakeResponse();
+  /// Body bytes since the last call.
+  std::string TakeBody() { return std::exchange(body_, {}); }
+  int Status() const { return static_cast<int>(parser_.status_code); }
+  const HttpHeaders& Headers() const { return headers_; }
+
+private:
+  static HttpMessageParser& Self(http_parser* aParser);
+  static http_parser_settings MakeCallbacks();
+  void AddHeader();
+  bool CountHead(size_t aBytes);
+  int OnHeadComplete();
+
+  HttpSide side_;
+  HttpLimits limits_;
+  http_parser parser_ = {};
+  bool isAnswerToHead_ = false;
+  bool hasBegun_ = false;
+  bool hasHead_ = false;
+  bool isComplete_ = false;
+  bool keepsAlive_ = true;
+  HttpFault fault_ = HttpFault::None;
+  size_t headBytes_ = 0;
+  size_t bodyBytes_ = 0;
+  std::string target_;
+  std::string name_;
+  std::string value_;
+  bool hasValue_ = false;
+  HttpHeaders headers_;
+  std::string body_;
+};
+
+} // namespace dandelion
+
+#endif
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -1,215 +1,476 @@
-#include "wire/Http.h"
-
-#include "wire/HttpShared.h"
+#include "wire/HttpMessageParser.h"
+#include "wire/SocketAddress.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+
+#include <algorithm>
+#include <array>
 
 #include <strings.h>
+#include <sys/socket.h>
 
 namespace dandelion {
 
 namespace {
 
-constexpr ev_uint16_t kAllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-                                    EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
-                                    EVHTTP_REQ_PATCH;
 constexpr int kBacklog = 1024;
+/// Bytes that are read ahead of the request in progress; enough to notice that its caller left.
+constexpr size_t kMostReadAhead = 64 * 1024;
+constexpr Duration kSweepPeriod = seconds(1);
+
+std::string_view ReasonPhrase(int aStatus)
+{
+  switch (aStatus) {
+#define DANDELION_PHRASE(number, name, text)                                                       \
+  case number:                                                                                     \
+    return #text;
+    HTTP_STATUS_MAP(DANDELION_PHRASE)
+#undef DANDELION_PHRASE
+  }
+  return "Status";
+}
+
+bool IsSame(std::string_view aA, std::string_view aB)
+{
+  return aA.size() == aB.size() && strncasecmp(aA.data(), aB.data(), aA.size()) == 0;
+}
+
+/// Headers by which the server frames its responses, so a handler's are left out.
+bool IsFraming(std::string_view aName)
+{
+  constexpr std::array<std::string_view, 3> kFraming = { "content-length",
+                                                         "transfer-encoding",
+                                                         "connection" };
+  auto isSame = [&](std::string_view aOther) { return IsSame(aName, aOther); };
+  return std::any_of(kFraming.begin(), kFraming.end(), isSame);
+}
+
+int StatusFor(HttpFault aFault)
+{
+  switch (aFault) {
+    case HttpFault::HeadTooLarge:
+      return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    case HttpFault::BodyTooLarge:
+      return HTTP_STATUS_PAYLOAD_TOO_LARGE;
+    case HttpFault::None:
+    case HttpFault::Malformed:
+      break;
+  }
+  return HTTP_STATUS_BAD_REQUEST;
+}
 
 } // namespace
 
 std::string FindHeader(const HttpHeaders& aHeaders, std::string_view aName)
 {
   for (const auto& [name, value] : aHeaders) {
-    if (name.size() == aName.size() && strncasecmp(name.data(), aName.data(), name.size()) == 0) {
+    if (IsSame(name, aName)) {
       return value;
     }
   }
   return "";
 }
 
-/// Owned jointly by the handler and, until the response, by the connection's callbacks.
-class HttpServer::Exchange
-  : public HttpExchange
-  , public std::enable_shared_from_this<HttpServer::Exchange>
+/// One caller's connection: requests one after the other, each answered before the next is read.
+class HttpServer::Connection
 {
 public:
-  explicit Exchange(evhttp_request* aRequest)
-    : pending_(aRequest)
+  Connection(HttpServer& aServer, ConnectionId aId, int aSocket);
+  ~Connection() { bufferevent_free(socket_); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void SendHead(const HttpResponse& aResponse, bool aIsStream);
+  void SendPiece(const std::string& aPiece);
+  void EndMessage();
+  /// Ends the connection without completing the message.
+  void Abort() { server_.Close(id_); }
+  /// Takes the connection off the loop and tells the handler that its caller has gone.
+  void Shut();
+
+  bool IsBusy() const { return exchange_ != nullptr || isDraining_ || parser_.HasBegun(); }
+  bool IsOver(TimePoint aNow) const;
+
+private:
+  void Write(std::string_view aBytes) { bufferevent_write(socket_, aBytes.data(), aBytes.size()); }
+  void Read();
+  void BeginExchange();
+  void Refuse(HttpFault aFault);
+  void CloseWhenWritten();
+  static void OnReadable(bufferevent* aSocket, void* aContext);
+  static void OnWritten(bufferevent* aSocket, void* aContext);
+  static void OnSocketEvent(bufferevent* aSocket, short aEvents, void* aContext);
+
+  HttpServer& server_;
+  ConnectionId id_;
+  bufferevent* socket_;
+  HttpMessageParser parser_;
+  Exchange* exchange_ = nullptr;
+  /// Keeps the exchange alive while its handler is told of it.
+  std::weak_ptr<HttpExchange> owner_;
+  bool closesAfter_ = false;
+  bool isDraining_ = false;
+  bool isHead_ = false;
+  bool isChunked_ = false;
+  bool hasContinued_ = false;
+  bool isReading_ = false;
+  TimePoint lastActive_;
+  friend class HttpServer::Exchange;
+};
+
+/// Owned by the handler; the connection is known only as long as it is open.
+class HttpServer::Exchange : public HttpExchange
+{
+public:
+  Exchange(Connection& aConnection, HttpRequest aRequest)
+    : request_(std::move(aRequest))
+    , connection_(&aConnection)
   {
-    request_.method = MethodName(evhttp_request_get_command(aRequest));
-    request_.target = evhttp_request_get_uri(aRequest);
-    request_.headers = ReadHeaders(evhttp_request_get_input_headers(aRequest));
-    request_.body = TakeBody(evhttp_request_get_input_buffer(aRequest));
   }
 
   ~Exchange() override
   {
-    // A handler that forgets an exchange must not leave its caller waiting.
+    if (connection_ == nullptr) {
+      return;
+    }
     if (isStreaming_) {
-      EndStream();
+      // Nobody has said that the body is whole, so it must not look so.
+      connection_->Abort();
+      return;
     }
+    // A handler that forgets an exchange must not leave its caller waiting.
     Reply(HttpResponse{ AnswerFor(ErrorKind::Internal).httpStatus, {}, "" });
   }
 
-  /// Begins to watch for a caller that goes away.
-  void Watch(event_base* aBase)
-  {
-    evhttp_connection* connection = evhttp_request_get_connection(pending_);
-    evhttp_connection_set_closecb(connection, &Exchange::OnClosed, this);
-    // evhttp stops reading while a request waits, so it would not notice; the poller does.
-    evutil_socket_t socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    hangUp_ = event_new(aBase, socket, EV_CLOSED, &Exchange::OnHangUp, this);
-    event_add(hangUp_, nullptr);
-  }
-
   const HttpRequest& Request() const override { return request_; }
 
   void Reply(const HttpResponse& aResponse) override
   {
-    if (pending_ == nullptr) {
-      return;
+    if (connection_ != nullptr && !isStreaming_) {
+      connection_->SendHead(aResponse, false);
+      Finish();
     }
-    AddHeaders(aResponse.headers);
-    evhttp_request* request = Release();
-    evbuffer* body = evbuffer_new();
-    evbuffer_add(body, aResponse.body.data(), aResponse.body.size());
-    evhttp_send_reply(request, aResponse.status, nullptr, body);
-    evbuffer_free(body);
   }
 
   void BeginStream(const HttpResponse& aHead) override
   {
-    if (pending_ != nullptr && !isStreaming_) {
+    if (connection_ != nullptr && !isStreaming_) {
       isStreaming_ = true;
-      AddHeaders(aHead.headers);
-      evhttp_send_reply_start(pending_, aHead.status, nullptr);
+      connection_->SendHead(aHead, true);
     }
   }
 
   void SendPiece(const std::string& aPiece) override
   {
-    if (pending_ != nullptr && isStreaming_) {
-      evbuffer* piece = evbuffer_new();
-      evbuffer_add(piece, aPiece.data(), aPiece.size());
-      evhttp_send_reply_chunk(pending_, piece);
-      evbuffer_free(piece);
+    if (connection_ != nullptr && isStreaming_) {
+      connection_->SendPiece(aPiece);
     }
   }
 
   void EndStream() override
   {
-    if (pending_ != nullptr && isStreaming_) {
-      evhttp_send_reply_end(Release());
+    if (connection_ != nullptr && isStreaming_) {
+      connection_->EndMessage();
+      Finish();
     }
   }
 
   void OnGone(std::function<void()> aCallback) override { onGone_ = std::move(aCallback); }
 
-private:
-  static void OnClosed(evhttp_connection* /* aConnection */, void* aContext)
+  void Forget()
   {
-    auto* exchange = static_cast<Exchange*>(aContext);
-    exchange->StopWatching();
-    exchange->pending_ = nullptr;
-    exchange->TellGone();
+    connection_ = nullptr;
+    auto callback = std::exchange(onGone_, nullptr);
+    if (callback) {
+      callback();
+    }
   }
 
-  static void OnHangUp(evutil_socket_t, short, void* aContext)
+private:
+  void Finish()
   {
-    auto self = static_cast<Exchange*>(aContext)->weak_from_this().lock();
-    if (self == nullptr) {
-      return;
+    Connection* connection = std::exchange(connection_, nullptr);
+    onGone_ = nullptr;
+    connection->exchange_ = nullptr;
+    if (connection->closesAfter_) {
+      connection->CloseWhenWritten();
+    } else {
+      connection->Read();
     }
-    self->TellGone();
-    self->EndStream();
-    // The reply cannot arrive; it makes evhttp close its side and free the request.
-    self->Reply(HttpResponse{ AnswerFor(ErrorKind::Internal).httpStatus, {}, "" });
   }
 
-  void AddHeaders(const HttpHeaders& aHeaders)
-  {
-    evkeyvalq* headers = evhttp_request_get_output_headers(pending_);
-    for (const auto& [name, value] : aHeaders) {
-      evhttp_add_header(headers, name.c_str(), value.c_str());
+  HttpRequest request_;
+  Connection* connection_;
+  bool isStreaming_ = false;
+  std::function<void()> onGone_;
+};
+
+HttpServer::Connection::Connection(HttpServer& aServer, ConnectionId aId, int aSocket)
+  : server_(aServer)
+  , id_(aId)
+  , socket_(bufferevent_socket_new(aServer.loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
+  , parser_(HttpSide::Request, aServer.limits_)
+  , lastActive_(aServer.loop_.Now())
+{
+  bufferevent_setcb(socket_,
+                    &Connection::OnReadable,
+                    &Connection::OnWritten,
+                    &Connection::OnSocketEvent,
+                    this);
+  bufferevent_setwatermark(socket_, EV_READ, 0, kMostReadAhead);
+  bufferevent_enable(socket_, EV_READ | EV_WRITE);
+}
+
+void HttpServer::Connection::OnReadable(bufferevent* /* aSocket */, void* aContext)
+{
+  static_cast<Connection*>(aContext)->Read();
+}
+
+void HttpServer::Connection::Read()
+{
+  // A reply from within the handler comes back here; the outer call goes on with the next request.
+  if (isReading_) {
+    return;
+  }
+  isReading_ = true;
+  evbuffer* input = bufferevent_get_input(socket_);
+  while (exchange_ == nullptr && !isDraining_ && evbuffer_get_length(input) > 0) {
+    lastActive_ = server_.loop_.Now();
+    size_t contiguous = evbuffer_get_contiguous_space(input);
+    const char* bytes = reinterpret_cast<const char*>(
+      evbuffer_pullup(input, static_cast<ev_ssize_t>(contiguous)));
+    size_t taken = parser_.Feed(bytes, contiguous);
+    evbuffer_drain(input, taken);
+    if (parser_.Fault() != HttpFault::None) {
+      Refuse(parser_.Fault());
+      break;
+    }
+    if (parser_.IsComplete()) {
+      BeginExchange();
+    } else if (parser_.ExpectsContinue() && !hasContinued_) {
+      hasContinued_ = true;
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
   }
+  isReading_ = false;
+}
 
-  evhttp_request* Release()
-  {
-    StopWatching();
-    evhttp_connection_set_closecb(evhttp_request_get_connection(pending_), nullptr, nullptr);
-    return std::exchange(pending_, nullptr);
-  }
+void HttpServer::Connection::BeginExchange()
+{
+  closesAfter_ = !parser_.KeepsAlive();
+  HttpRequest request = parser_.TakeRequest();
+  isHead_ = request.method == "HEAD";
+  parser_.Reset();
+  hasContinued_ = false;
+  auto exchange = std::make_shared<Exchange>(*this, std::move(request));
+  exchange_ = exchange.get();
+  owner_ = exchange;
+  server_.handler_(std::move(exchange));
+}
 
-  void StopWatching()
-  {
-    if (hangUp_ != nullptr) {
-      event_free(std::exchange(hangUp_, nullptr));
+void HttpServer::Connection::Refuse(HttpFault aFault)
+{
+  closesAfter_ = true;
+  HttpResponse response;
+  response.status = StatusFor(aFault);
+  SendHead(response, false);
+  CloseWhenWritten();
+}
+
+void HttpServer::Connection::SendHead(const HttpResponse& aResponse, bool aIsStream)
+{
+  closesAfter_ = closesAfter_ || server_.isClosing_;
+  std::string head =
+    fmt::format("HTTP/1.1 {} {}\r\n", aResponse.status, ReasonPhrase(aResponse.status));
+  for (const auto& [name, value] : aResponse.headers) {
+    if (!IsFraming(name)) {
+      head += fmt::format("{}: {}\r\n", name, value);
     }
   }
+  bool hasNoBody = aResponse.status == HTTP_STATUS_NO_CONTENT ||
+                   aResponse.status == HTTP_STATUS_NOT_MODIFIED || aResponse.status < 200;
+  isChunked_ = aIsStream && !isHead_;
+  if (isChunked_) {
+    head += "Transfer-Encoding: chunked\r\n";
+  } else if (!hasNoBody) {
+    head += fmt::format("Content-Length: {}\r\n", aResponse.body.size());
+  }
+  head += closesAfter_ ? "Connection: close\r\n\r\n" : "\r\n";
+  Write(head);
+  if (!aIsStream && !isHead_ && !hasNoBody) {
+    Write(aResponse.body);
+  }
+  lastActive_ = server_.loop_.Now();
+}
 
-  void TellGone()
-  {
-    auto callback = std::exchange(onGone_, nullptr);
-    if (callback) {
-      callback();
-    }
+void HttpServer::Connection::SendPiece(const std::string& aPiece)
+{
+  if (isChunked_ && !aPiece.empty()) {
+    Write(fmt::format("{:x}\r\n", aPiece.size()));
+    Write(aPiece);
+    Write("\r\n");
   }
+}
 
-  HttpRequest request_;
-  evhttp_request* pending_;
-  event* hangUp_ = nullptr;
-  bool isStreaming_ = false;
-  std::function<void()> onGone_;
-};
+void HttpServer::Connection::EndMessage()
+{
+  if (isChunked_) {
+    Write("0\r\n\r\n");
+  }
+}
+
+void HttpServer::Connection::CloseWhenWritten()
+{
+  isDraining_ = true;
+  if (evbuffer_get_length(bufferevent_get_output(socket_)) == 0) {
+    server_.Close(id_);
+  }
+}
+
+void HttpServer::Connection::OnWritten(bufferevent* /* aSocket */, void* aContext)
+{
+  auto* self = static_cast<Connection*>(aContext);
+  self->lastActive_ = self->server_.loop_.Now();
+  if (self->isDraining_) {
+    self->server_.Close(self->id_);
+  }
+}
+
+void HttpServer::Connection::OnSocketEvent(bufferevent* /* aSocket */,
+                                           short /* aEvents */,
+                                           void* aContext)
+{
+  auto* self = static_cast<Connection*>(aContext);
+  self->server_.Close(self->id_);
+}
+
+void HttpServer::Connection::Shut()
+{
+  bufferevent_disable(socket_, EV_READ | EV_WRITE);
+  bufferevent_setcb(socket_, nullptr, nullptr, nullptr, nullptr);
+  std::shared_ptr<HttpExchange> owner = owner_.lock();
+  if (exchange_ != nullptr) {
+    std::exchange(exchange_, nullptr)->Forget();
+  }
+}
+
+bool HttpServer::Connection::IsOver(TimePoint aNow) const
+{
+  if (exchange_ != nullptr) {
+    return false;
+  }
+  Duration limit = parser_.HasBegun() ? server_.limits_.headTime : server_.limits_.idleTime;
+  return aNow - lastActive_ > limit;
+}
 
 HttpServer::HttpServer(Loop& aLoop, HttpHandler aHandler)
   : loop_(aLoop)
   , handler_(std::move(aHandler))
-  , server_(evhttp_new(aLoop.Base()))
 {
 }
 
 HttpServer::~HttpServer()
 {
-  evhttp_free(server_);
+  if (listener_ != nullptr) {
+    evconnlistener_free(listener_);
+  }
+  while (!connections_.empty()) {
+    Close(connections_.begin()->first);
+  }
 }
 
 absl::Status HttpServer::Listen(const Endpoint& aEndpoint, const HttpLimits& aLimits)
 {
-  evhttp_set_allowed_methods(server_, kAllMethods);
-  evhttp_set_max_headers_size(server_, static_cast<ev_ssize_t>(aLimits.mostHeaderBytes));
-  evhttp_set_max_body_size(server_, static_cast<ev_ssize_t>(aLimits.mostBodyBytes));
-  evhttp_set_timeout(server_, static_cast<int>(aLimits.idleTime / seconds(1)));
-  evhttp_set_gencb(server_, &HttpServer::OnRequest, this);
-  socket_ = evhttp_bind_socket_with_handle(server_, aEndpoint.ip.c_str(), aEndpoint.port);
-  if (socket_ == nullptr) {
+  limits_ = aLimits;
+  sockaddr_in address = ToSocketAddress(aEndpoint);
+  auto onAccept = [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aContext) {
+    static_cast<HttpServer*>(aContext)->Accept(aSocket);
+  };
+  listener_ =
+    evconnlistener_new_bind(loop_.Base(),
+                            onAccept,
+                            this,
+                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+                            kBacklog,
+                            reinterpret_cast<sockaddr*>(&address),
+                            sizeof(address));
+  if (listener_ == nullptr) {
     return MakeError(
       ErrorKind::InvalidSettings,
       fmt::format("cannot listen on {}; free the port or set another", ToText(aEndpoint)));
   }
-  listen(evhttp_bound_socket_get_fd(socket_), kBacklog);
+  Sweep();
   return absl::OkStatus();
 }
 
+void HttpServer::Accept(int aSocket)
+{
+  DisableNagle(aSocket);
+  ConnectionId id = nextId_++;
+  connections_[id] = std::make_unique<Connection>(*this, id, aSocket);
+}
+
+void HttpServer::Close(ConnectionId aId)
+{
+  auto found = connections_.find(aId);
+  if (found == connections_.end()) {
+    return;
+  }
+  std::unique_ptr<Connection> connection = std::move(found->second);
+  connections_.erase(found);
+  Connection& closed = *connection;
+  closed_.push_back(std::move(connection));
+  if (!burial_.IsPending()) {
+    burial_ = loop_.After(Duration::zero(), [this] {
+      burial_.Cancel();
+      closed_.clear();
+    });
+  }
+  closed.Shut();
+}
+
+void HttpServer::Sweep()
+{
+  TimePoint now = loop_.Now();
+  std::vector<ConnectionId> over;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->IsOver(now)) {
+      over.push_back(id);
+    }
+  }
+  for (ConnectionId id : over) {
+    Close(id);
+  }
+  sweep_ = loop_.After(kSweepPeriod, [this] { Sweep(); });
+}
+
 void HttpServer::StopListening()
 {
-  if (socket_ != nullptr) {
-    evhttp_del_accept_socket(server_, std::exchange(socket_, nullptr));
+  isClosing_ = true;
+  if (listener_ != nullptr) {
+    evconnlistener_free(std::exchange(listener_, nullptr));
+  }
+  std::vector<ConnectionId> idle;
+  for (const auto& [id, connection] : connections_) {
+    if (!connection->IsBusy()) {
+      idle.push_back(id);
+    }
+  }
+  for (ConnectionId id : idle) {
+    Close(id);
   }
 }
 
-void HttpServer::OnRequest(evhttp_request* aRequest, void* aContext)
+size_t HttpServer::Busy() const
 {
-  auto* server = static_cast<HttpServer*>(aContext);
-  auto exchange = std::make_shared<Exchange>(aRequest);
-  exchange->Watch(server->loop_.Base());
-  server->handler_(exchange);
+  size_t busy = 0;
+  for (const auto& [id, connection] : connections_) {
+    busy += connection->IsBusy() ? 1 : 0;
+  }
+  return busy;
 }
 
 } // namespace dandelion
