--- a/src/admission/SlotQueue.cpp
+++ b/src/admission/SlotQueue.cpp
@@ -34,7 +34,8 @@
     case QueueOrderName::OneFifo:
       return OneFifo{};
     case QueueOrderName::ClassLanes:
-      return ClassLanes{};
+    case QueueOrderName::ByTarget:
+      break;
   }
   return ClassLanes{};
 }
@@ -51,7 +52,8 @@
   std::visit(
     Overloaded{
       [&](const CallArrived& aCall) {
-        CallArrived arrived{ aCall.call, WaitingClass(aCall.trafficClass), aCall.deadline };
+        CallArrived arrived = aCall;
+        arrived.trafficClass = WaitingClass(aCall.trafficClass);
         OnArrived(effects, arrived, aNow);
       },
       [&](const CallFinished& aCall) { OnFinished(effects, aCall, aNow); },
@@ -93,6 +95,18 @@
   return effects;
 }
 
+GateEvidence SlotQueue::EvidenceFor(TrafficClass aClass) const
+{
+  GateEvidence evidence;
+  evidence.queueLength = Waiting() + Running();
+  evidence.slots = slots_;
+  evidence.freeSlots = std::max<int64_t>(0, slots_ - evidence.queueLength);
+  bool waits = evidence.freeSlots == 0;
+  evidence.wait = waits ? ExpectedWait(WaitingClass(aClass)) : Duration::zero();
+  evidence.work = LaneOf(WaitingClass(aClass)).serviceTime;
+  return evidence;
+}
+
 void SlotQueue::OnArrived(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow)
 {
   Lane& lane = LaneOf(aCall.trafficClass);
--- a/src/admission/SlotQueue.h
+++ b/src/admission/SlotQueue.h
@@ -2,7 +2,7 @@
 #ifndef DANDELION_ADMISSION_SLOT_QUEUE_H
 #define DANDELION_ADMISSION_SLOT_QUEUE_H
 
-#include "release/Release.h"
+#include "admission/GateEvents.h"
 
 #include <array>
 #include <cstdint>
@@ -13,39 +13,6 @@
 
 namespace dandelion {
 
-using CallKey = uint64_t;
-
-struct CallArrived
-{
-  CallKey call;
-  TrafficClass trafficClass;
-  TimePoint deadline;
-};
-struct CallFinished
-{
-  CallKey call;
-};
-/// The caller no longer wants the answer; a running call keeps its slot until it has finished.
-struct CallCancelled
-{
-  CallKey call;
-};
-using AdmissionEvent = std::variant<CallArrived, CallFinished, CallCancelled>;
-
-/// Hand the call to the upstream.
-struct RunCall
-{
-  CallKey call;
-};
-/// The call has not run and will not.
-struct RefuseCall
-{
-  CallKey call;
-  ErrorKind reason;
-};
-using AdmissionEffect = std::variant<RunCall, RefuseCall>;
-using AdmissionEffects = std::vector<AdmissionEffect>;
-
 /// All classes wait in one queue, whatever their deadlines; the plain way, for comparison.
 struct OneFifo
 {};
@@ -58,6 +25,8 @@
 {
   OneFifo,
   ClassLanes,
+  /// By the time at which each must begin; see TargetQueue.h.
+  ByTarget,
 };
 
 template<>
@@ -66,6 +35,7 @@
   static constexpr EnumName<QueueOrderName> kTable[] = {
     { QueueOrderName::OneFifo, "one-fifo" },
     { QueueOrderName::ClassLanes, "class-lanes" },
+    { QueueOrderName::ByTarget, "by-target" },
   };
 };
 
@@ -84,7 +54,13 @@
   /// Refuses what waits and all new calls; running calls finish.
   AdmissionEffects Close();
 
+  /// Takes calls again after `Close`.
+  void Open() { isClosed_ = false; }
+
   void SetSlots(int64_t aSlots) { slots_ = aSlots; }
+  int64_t Slots() const { return slots_; }
+  /// What the queue expects of a call that arrives now.
+  GateEvidence EvidenceFor(TrafficClass aClass) const;
   int64_t Running() const { return static_cast<int64_t>(running_.size()); }
   int64_t Waiting() const { return waiting_; }
 
--- /dev/null
+++ b/src/admission/TargetQueue.cpp
@@ -0,0 +1,199 @@
+#include "admission/TargetQueue.h"
+
+#include <algorithm>
+
+namespace dandelion {
+
+namespace {
+
+/// Expected work of a kind that has not run here yet.
+constexpr Duration kUnknownWork = milliseconds(100);
+/// Share of a sample in the smoothed work: about the last ten calls count.
+constexpr double kSampleShare = 0.1;
+/// One rank of priority counts as much as this much less time to the target.
+constexpr Duration kRankWeight = milliseconds(150);
+/// Time that an answer takes back to its caller.
+constexpr Duration kWayBack = milliseconds(5);
+/// Part of its usual work that a running call is expected to need at least.
+constexpr int kLeastLeftOneIn = 8;
+
+} // namespace
+
+TargetQueue::TargetQueue(int64_t aSlots)
+  : slots_(aSlots)
+{
+}
+
+AdmissionEffects TargetQueue::On(const AdmissionEvent& aEvent, TimePoint aNow)
+{
+  AdmissionEffects effects;
+  std::visit(Overloaded{
+               [&](const CallArrived& aCall) { OnArrived(effects, aCall, aNow); },
+               [&](const CallFinished& aCall) { OnFinished(aCall, aNow); },
+               [&](const CallCancelled& aCall) {
+                 auto isCall = [&](const CallArrived& aOther) { return aOther.call == aCall.call; };
+                 waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), isCall),
+                                waiting_.end());
+               },
+             },
+             aEvent);
+  FillSlots(effects, aNow);
+  return effects;
+}
+
+void TargetQueue::OnArrived(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow)
+{
+  if (isClosed_) {
+    aEffects.push_back(RefuseCall{ aCall.call, ErrorKind::Leaving });
+    return;
+  }
+  if (waiting_.empty() && Running() < slots_) {
+    Run(aEffects, aCall, aNow);
+    return;
+  }
+  TimePoint begin = aNow + WaitBehind(LatestBegin(aCall, aNow), aNow);
+  TimePoint end = begin + WorkOf(aCall.kind, aNow) + kWayBack;
+  if (end > std::min(aCall.target, aCall.deadline)) {
+    aEffects.push_back(RefuseCall{ aCall.call, ErrorKind::Overloaded });
+    return;
+  }
+  waiting_.push_back(aCall);
+}
+
+void TargetQueue::OnFinished(const CallFinished& aCall, TimePoint aNow)
+{
+  auto found = running_.find(aCall.call);
+  if (found == running_.end()) {
+    return;
+  }
+  Duration taken = aNow - found->second.since;
+  auto [known, isNew] = work_.emplace(found->second.kind, taken);
+  if (!isNew) {
+    double change = kSampleShare * static_cast<double>((taken - known->second).count());
+    known->second += Duration(static_cast<int64_t>(change));
+  }
+  running_.erase(found);
+}
+
+void TargetQueue::FillSlots(AdmissionEffects& aEffects, TimePoint aNow)
+{
+  while (!waiting_.empty() && Running() < slots_) {
+    // Those that can be in time come first, by their latest begin; of the others, which are late
+    // anyway, the one with the nearest deadline.
+    auto isLate = [&](const CallArrived& aCall) {
+      return aNow + WorkOf(aCall.kind, aNow) > aCall.target;
+    };
+    auto comesFirst = [&](const CallArrived& aA, const CallArrived& aB) {
+      bool isLateA = isLate(aA);
+      bool isLateB = isLate(aB);
+      if (isLateA != isLateB) {
+        return isLateB;
+      }
+      return isLateA ? aA.deadline < aB.deadline
+                     : LatestBegin(aA, aNow) < LatestBegin(aB, aNow);
+    };
+    auto first = std::min_element(waiting_.begin(), waiting_.end(), comesFirst);
+    CallArrived next = std::move(*first);
+    waiting_.erase(first);
+    if (aNow + kWayBack >= next.deadline) {
+      aEffects.push_back(RefuseCall{ next.call, ErrorKind::Overloaded });
+    } else {
+      Run(aEffects, next, aNow);
+    }
+  }
+}
+
+void TargetQueue::Run(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow)
+{
+  running_[aCall.call] = RunningCall{ aCall.kind, aNow };
+  aEffects.push_back(RunCall{ aCall.call });
+}
+
+AdmissionEffects TargetQueue::Expire(TimePoint aNow)
+{
+  AdmissionEffects effects;
+  auto isOver = [&](const CallArrived& aCall) {
+    bool isHopeless = aNow + WorkOf(aCall.kind, aNow) / 2 + kWayBack >= aCall.deadline;
+    if (isHopeless) {
+      effects.push_back(RefuseCall{ aCall.call, ErrorKind::Overloaded });
+    }
+    return isHopeless;
+  };
+  waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), isOver), waiting_.end());
+  return effects;
+}
+
+AdmissionEffects TargetQueue::Close()
+{
+  isClosed_ = true;
+  AdmissionEffects effects;
+  for (const CallArrived& call : waiting_) {
+    effects.push_back(RefuseCall{ call.call, ErrorKind::Leaving });
+  }
+  waiting_.clear();
+  return effects;
+}
+
+GateEvidence TargetQueue::EvidenceFor(const WorkKind& aKind, TimePoint aNow) const
+{
+  GateEvidence evidence;
+  evidence.queueLength = Running() + Waiting();
+  evidence.slots = slots_;
+  evidence.freeSlots = std::max<int64_t>(0, slots_ - evidence.queueLength);
+  evidence.work = WorkOf(aKind, aNow);
+  if (evidence.freeSlots == 0) {
+    evidence.wait = WaitBehind(TimePoint::max(), aNow);
+  }
+  return evidence;
+}
+
+Duration TargetQueue::WorkOf(const WorkKind& aKind, TimePoint aNow) const
+{
+  auto known = work_.find(aKind);
+  Duration work = known == work_.end() ? kUnknownWork : known->second;
+  // Calls that have run for longer than usual show a slowness that no finished call shows yet.
+  Duration elapsed = Duration::zero();
+  int64_t running = 0;
+  for (const auto& [key, call] : running_) {
+    if (call.kind == aKind) {
+      elapsed += aNow - call.since;
+      ++running;
+    }
+  }
+  return running == 0 ? work : std::max(work, elapsed / running);
+}
+
+Duration TargetQueue::RunningLeft(TimePoint aNow) const
+{
+  Duration left = Duration::zero();
+  for (const auto& [key, call] : running_) {
+    Duration work = WorkOf(call.kind, aNow);
+    left += std::max(work - (aNow - call.since), work / kLeastLeftOneIn);
+  }
+  return left;
+}
+
+Duration TargetQueue::WaitBehind(TimePoint aLatest, TimePoint aNow) const
+{
+  if (slots_ <= 0) {
+    return kUnknownWork;
+  }
+  if (Running() < slots_ && waiting_.empty()) {
+    return Duration::zero();
+  }
+  // Half of a call's time passes, on the mean, before the next of all slots is free.
+  Duration ahead = RunningLeft(aNow) / 2;
+  for (const CallArrived& call : waiting_) {
+    if (LatestBegin(call, aNow) <= aLatest) {
+      ahead += WorkOf(call.kind, aNow);
+    }
+  }
+  return ahead / slots_;
+}
+
+TimePoint TargetQueue::LatestBegin(const CallArrived& aCall, TimePoint aNow) const
+{
+  return aCall.target - WorkOf(aCall.kind, aNow) + kRankWeight * aCall.priority;
+}
+
+} // namespace dandelion
--- /dev/null
+++ b/src/admission/TargetQueue.h
@@ -0,0 +1,66 @@
+/// A gate that serves calls in the order in which they must begin to meet their targets.
+///
+/// A call that cannot meet its target behind those that go before it is refused when it arrives, so
+/// its caller can go elsewhere while there is time. A call that has become late while it waited runs
+/// only when no other could still be in time.
+#ifndef DANDELION_ADMISSION_TARGET_QUEUE_H
+#define DANDELION_ADMISSION_TARGET_QUEUE_H
+
+#include "admission/GateEvents.h"
+
+#include <map>
+
+namespace dandelion {
+
+class TargetQueue
+{
+public:
+  explicit TargetQueue(int64_t aSlots);
+
+  AdmissionEffects On(const AdmissionEvent& aEvent, TimePoint aNow);
+
+  /// Refuses waiting calls that can no longer be answered before their deadline.
+  AdmissionEffects Expire(TimePoint aNow);
+
+  /// Refuses what waits and all new calls; running calls finish.
+  AdmissionEffects Close();
+  /// Takes calls again after `Close`.
+  void Open() { isClosed_ = false; }
+
+  void SetSlots(int64_t aSlots) { slots_ = aSlots; }
+  int64_t Slots() const { return slots_; }
+  int64_t Running() const { return static_cast<int64_t>(running_.size()); }
+  int64_t Waiting() const { return static_cast<int64_t>(waiting_.size()); }
+
+  GateEvidence EvidenceFor(const WorkKind& aKind, TimePoint aNow) const;
+
+private:
+  struct RunningCall
+  {
+    WorkKind kind;
+    TimePoint since;
+  };
+
+  void OnArrived(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow);
+  void OnFinished(const CallFinished& aCall, TimePoint aNow);
+  void FillSlots(AdmissionEffects& aEffects, TimePoint aNow);
+  void Run(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow);
+  /// Expected time in a slot.
+  Duration WorkOf(const WorkKind& aKind, TimePoint aNow) const;
+  /// Work that is left of what runs.
+  Duration RunningLeft(TimePoint aNow) const;
+  /// The wait for a slot behind running calls and those that must begin no later than `aLatest`.
+  Duration WaitBehind(TimePoint aLatest, TimePoint aNow) const;
+  /// When a call must begin to meet its target, moved by its rank.
+  TimePoint LatestBegin(const CallArrived& aCall, TimePoint aNow) const;
+
+  int64_t slots_;
+  bool isClosed_ = false;
+  std::vector<CallArrived> waiting_;
+  std::map<CallKey, RunningCall> running_;
+  std::map<WorkKind, Duration> work_;
+};
+
+} // namespace dandelion
+
+#endif
--- /dev/null
+++ b/src/admission/UpstreamTracker.cpp
@@ -0,0 +1,92 @@
+#include "admission/UpstreamTracker.h"
+
+#include <utility>
+
+namespace dandelion {
+
+namespace {
+
+/// Slots of an upstream that is known to serve and has not said how many it has.
+constexpr int64_t kSlotsBeforeReport = 2;
+/// Two reports this far apart were not sent by an upstream that has left in between.
+constexpr Duration kProofOfLife = milliseconds(800);
+
+} // namespace
+
+UpstreamTracker::UpstreamTracker(std::string aService)
+  : service_(std::move(aService))
+{
+}
+
+bool UpstreamTracker::IsSameIncarnation(const UpstreamReport& aReport) const
+{
+  return aReport.id == id_ && (!aReport.bornMs.has_value() || !bornMs_.has_value() ||
+                               *aReport.bornMs == *bornMs_);
+}
+
+bool UpstreamTracker::IsLate(const UpstreamReport& aReport) const
+{
+  if (!condition_.has_value() || sequence_ < 0) {
+    return false;
+  }
+  if (IsSameIncarnation(aReport)) {
+    // An incarnation that leaves does not come back, whatever its late reports say.
+    bool isLeaving = *condition_ != UpstreamCondition::Ready;
+    bool goesBack = aReport.condition < *condition_;
+    bool isOld = aReport.sequence.has_value() && *aReport.sequence <= sequence_;
+    return (isLeaving && goesBack) || isOld;
+  }
+  return aReport.bornMs.has_value() && bornMs_.has_value() && *aReport.bornMs <= *bornMs_;
+}
+
+ReportVerdict UpstreamTracker::On(const UpstreamReport& aReport, TimePoint aNow)
+{
+  bool isFarewell = aReport.condition == UpstreamCondition::Gone;
+  if (!isFarewell && aReport.service != service_) {
+    return ReportVerdict::Foreign;
+  }
+  if (isFarewell && !id_.empty() && aReport.id != id_) {
+    return ReportVerdict::Late;
+  }
+  if (IsLate(aReport)) {
+    return ReportVerdict::Late;
+  }
+  bool tookWork = TakesWork();
+  bool isSame = IsSameIncarnation(aReport) && condition_ == aReport.condition &&
+                (isFarewell || slots_ == aReport.slots);
+  if (isDenied_ && aReport.condition == UpstreamCondition::Ready) {
+    if (!firstReadyAfterDenial_.has_value()) {
+      firstReadyAfterDenial_ = aNow;
+    }
+    isDenied_ = aNow - *firstReadyAfterDenial_ < kProofOfLife;
+  }
+  id_ = aReport.id;
+  bornMs_ = aReport.bornMs.has_value() ? aReport.bornMs : bornMs_;
+  sequence_ = aReport.sequence.value_or(sequence_ < 0 ? 0 : sequence_);
+  condition_ = aReport.condition;
+  if (!isFarewell) {
+    slots_ = aReport.slots;
+  }
+  return isSame && tookWork == TakesWork() ? ReportVerdict::Unchanged : ReportVerdict::Applied;
+}
+
+void UpstreamTracker::OnHealth(const HealthAnswer& aAnswer)
+{
+  if (condition_.has_value()) {
+    return;
+  }
+  if (!aAnswer.isHealthy) {
+    isDenied_ = true;
+    return;
+  }
+  id_ = aAnswer.id;
+  slots_ = kSlotsBeforeReport;
+  condition_ = UpstreamCondition::Ready;
+}
+
+bool UpstreamTracker::TakesWork() const
+{
+  return condition_ == UpstreamCondition::Ready && !isDenied_;
+}
+
+} // namespace dandelion
--- a/src/codec/JsonFields.cpp
+++ b/src/codec/JsonFields.cpp
@@ -59,15 +59,22 @@
   return json;
 }
 
-JsonReader::JsonReader(const Json& aObject, std::string aPath, std::vector<std::string>& aFaults)
+JsonReader::JsonReader(const Json& aObject,
+                       std::string aPath,
+                       std::vector<std::string>& aFaults,
+                       UnknownKeys aUnknownKeys)
   : object_(aObject)
   , path_(std::move(aPath))
   , faults_(aFaults)
+  , unknownKeys_(aUnknownKeys)
 {
 }
 
 JsonReader::~JsonReader()
 {
+  if (unknownKeys_ == UnknownKeys::Ignored) {
+    return;
+  }
   for (const auto& [key, value] : object_.items()) {
     if (asked_.count(key) > 0) {
       continue;
@@ -83,7 +90,9 @@
 const Json* JsonReader::Take(std::string_view aName)
 {
   std::string name(aName);
-  asked_.insert(name);
+  if (unknownKeys_ == UnknownKeys::Refused) {
+    asked_.insert(name);
+  }
   auto found = object_.find(name);
   return found == object_.end() ? nullptr : &*found;
 }
--- a/src/codec/JsonFields.h
+++ b/src/codec/JsonFields.h
@@ -20,10 +20,22 @@
 /// Parses JSON with comments, of bounded size and depth. The error names line and column.
 absl::StatusOr<Json> ParseJson(const std::string& aText, size_t aMostBytes);
 
+/// What a reader makes of keys that no field asks for.
+enum class UnknownKeys
+{
+  /// They are faults: in what people write they are mistakes.
+  Refused,
+  /// They are passed over: what other programs write may grow.
+  Ignored,
+};
+
 class JsonReader
 {
 public:
-  JsonReader(const Json& aObject, std::string aPath, std::vector<std::string>& aFaults);
+  JsonReader(const Json& aObject,
+             std::string aPath,
+             std::vector<std::string>& aFaults,
+             UnknownKeys aUnknownKeys = UnknownKeys::Refused);
   /// Reports the keys that no field has asked for.
   ~JsonReader();
   JsonReader(const JsonReader&) = delete;
@@ -77,6 +89,8 @@
         return;
       }
       aValue = *value;
+    } else if constexpr (std::is_floating_point_v<T>) {
+      ReadFraction(aJson, aPath, aValue);
     } else if constexpr (std::is_integral_v<T>) {
       ReadBounded(aJson, aPath, aValue, aLimits...);
     } else if constexpr (std::is_same_v<T, std::string>) {
@@ -89,15 +103,41 @@
     } else if constexpr (IsMap<T>::value) {
       ReadMap(aJson, aPath, aValue);
     } else {
+      if constexpr (TextForm<T>::kExists) {
+        if (aJson.is_string()) {
+          ReadTextForm(aJson, aPath, aValue);
+          return;
+        }
+      }
       if (!aJson.is_object()) {
         Complain(aPath, "must be an object in braces");
         return;
       }
-      JsonReader reader(aJson, aPath, faults_);
+      JsonReader reader(aJson, aPath, faults_, unknownKeys_);
       VisitFields(reader, aValue);
     }
   }
 
+  template<class T>
+  void ReadTextForm(const Json& aJson, const std::string& aPath, T& aValue) const
+  {
+    std::optional<T> value = TextForm<T>::Parse(aJson.get_ref<const std::string&>());
+    if (!value.has_value()) {
+      Complain(aPath, std::string("must be a text like ") + TextForm<T>::kShape);
+      return;
+    }
+    aValue = *std::move(value);
+  }
+
+  void ReadFraction(const Json& aJson, const std::string& aPath, double& aValue) const
+  {
+    if (!aJson.is_number()) {
+      Complain(aPath, "must be a number");
+      return;
+    }
+    aValue = aJson.get<double>();
+  }
+
   template<class T>
   void ReadBounded(const Json& aJson, const std::string& aPath, T& aValue)
   {
@@ -151,12 +191,15 @@
   const Json& object_;
   std::string path_;
   std::vector<std::string>& faults_;
+  UnknownKeys unknownKeys_;
   std::set<std::string> asked_;
 };
 
 /// Reads a typed value from a JSON object. The error lists every fault under `aKind`.
 template<class T>
-absl::StatusOr<T> FromJson(const Json& aJson, ErrorKind aKind)
+absl::StatusOr<T> FromJson(const Json& aJson,
+                           ErrorKind aKind,
+                           UnknownKeys aUnknownKeys = UnknownKeys::Refused)
 {
   if (!aJson.is_object()) {
     return MakeError(aKind, "the text must be one object in braces");
@@ -164,7 +207,7 @@
   T value;
   std::vector<std::string> faults;
   {
-    JsonReader reader(aJson, "", faults);
+    JsonReader reader(aJson, "", faults, aUnknownKeys);
     VisitFields(reader, value);
   }
   if (faults.empty()) {
@@ -208,7 +251,7 @@
   {
     if constexpr (std::is_enum_v<T>) {
       return std::string(NameOf(aValue));
-    } else if constexpr (std::is_integral_v<T> || std::is_same_v<T, std::string>) {
+    } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
       return aValue;
     } else if constexpr (IsOptional<T>::value) {
       return aValue.has_value() ? Write(*aValue) : Json();
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -1,11 +1,13 @@
 #include "dandeliond/AdmissionService.h"
 
+#include <algorithm>
+
 namespace dandelion {
 
 namespace {
 
 constexpr Duration kTickPeriod = milliseconds(50);
-constexpr int64_t kSlotsBeforeConfiguration = 1;
+constexpr int64_t kSlotsBeforeReport = 1;
 
 /// The configuration no longer leads the call here.
 bool IsWithdrawn(const Configuration& aConfiguration, const OpenCall& aCall)
@@ -18,14 +20,18 @@
     return false;
   }
   auto route = aConfiguration.routes.find(aCall.route);
-  return route == aConfiguration.routes.end() || route->second.spec.service != aCall.service;
+  if (route == aConfiguration.routes.end()) {
+    return true;
+  }
+  std::vector<std::string> services = ServicesOf(route->second.spec);
+  return std::find(services.begin(), services.end(), aCall.service) == services.end();
 }
 
 } // namespace
 
 AdmissionService::AdmissionService(const NodeContext& aContext)
   : context_(aContext)
-  , queue_(kSlotsBeforeConfiguration, MakeQueueOrder(aContext.settings.queue))
+  , gate_(aContext.settings.queue, kSlotsBeforeReport)
 {
 }
 
@@ -38,7 +44,9 @@
   membership_ = &registry.Find<Membership>(ServiceName::Membership);
   metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
   links_->AddHandler(*this);
-  releases_->AddListener([this] { TakeSlotsFromConfiguration(); });
+  upstreamState_ = &registry.Find<UpstreamState>(ServiceName::UpstreamState);
+  upstreamState_->AddListener([this] { FollowUpstream(); });
+  FollowUpstream();
   Tick();
   return absl::OkStatus();
 }
@@ -58,7 +66,11 @@
   if (obstacle.has_value()) {
     Refuse(ticket, *obstacle);
   } else {
-    Carry(queue_.On(CallArrived{ ticket, aCall.trafficClass, deadline }, now));
+    TimePoint target = aCall.targetMs > 0 ? now + milliseconds(aCall.targetMs) : deadline;
+    Carry(gate_.On(
+      CallArrived{
+        ticket, aCall.trafficClass, deadline, target, aCall.priority, aCall.policy },
+      now));
   }
   return ticket;
 }
@@ -98,12 +110,13 @@
   std::optional<ErrorKind> obstacle = FindObstacle(served.call);
   if (obstacle.has_value()) {
     Refuse(aTicket, *obstacle);
-    Carry(queue_.On(CallFinished{ aTicket }, context_.loop.Now()));
+    Carry(gate_.On(CallFinished{ aTicket }, context_.loop.Now()));
     return;
   }
   TimePoint now = context_.loop.Now();
   served.startedAt = now;
   served.call.deadlineMs = std::max<int64_t>(1, ToMilliseconds(served.deadline - now));
+  served.call.upstreamId = upstreamState_->Id();
   metrics_->Observe(
     HistogramName::QueueTime, ClassLabel(served.call.trafficClass), now - served.arrivedAt);
   served.request = upstream_->Send(served.call, [this, aTicket](const UpstreamResult& aResult) {
@@ -126,19 +139,35 @@
   reply.status = aResult.status;
   reply.headers = aResult.headers;
   reply.body.data = aResult.body;
+  reply.hasReachedUpstream = aResult.hasReached;
   if (aResult.outcome == CallOutcome::NotRun) {
     reply.error = ErrorKind::Overloaded;
   } else if (aResult.outcome == CallOutcome::Unknown) {
     reply.error = ErrorKind::OutcomeUnknown;
   }
+  if (aResult.outcome != CallOutcome::Ran && served != served_.end()) {
+    LogEnd(served->second, aResult);
+  }
+  // The slot is free before the reply tells of the gate.
+  AdmissionEffects effects = gate_.On(CallFinished{ aTicket }, context_.loop.Now());
   Reply(aTicket, std::move(reply));
-  Carry(queue_.On(CallFinished{ aTicket }, context_.loop.Now()));
+  Carry(effects);
   CheckDrained();
 }
 
 void AdmissionService::Refuse(Ticket aTicket, ErrorKind aReason)
 {
   metrics_->Count(CounterName::CallsShed, fmt::format("reason=\"{}\"", NameOf(aReason)));
+  const OpenCall& call = served_.at(aTicket).call;
+  Log(LogPart::Admission,
+      LogLevel::Info,
+      "Call {} is refused as not run: {}; {} run and {} wait for {} slots, version {}.",
+      call.requestId,
+      NameOf(aReason),
+      gate_.Running(),
+      gate_.Waiting(),
+      upstreamState_->Slots(),
+      releases_->Current()->version);
   CallReply reply;
   reply.outcome = CallOutcome::NotRun;
   reply.error = aReason;
@@ -152,7 +181,13 @@
     return;
   }
   aReply.id = found->second.call.id;
-  aReply.queueLength = queue_.Waiting() + queue_.Running();
+  GateEvidence evidence = gate_.EvidenceFor(
+    found->second.call.trafficClass, found->second.call.policy, context_.loop.Now());
+  aReply.queueLength = evidence.queueLength;
+  aReply.slots = evidence.slots;
+  aReply.freeSlots = evidence.freeSlots;
+  aReply.waitUs = evidence.wait.count();
+  aReply.workUs = evidence.work.count();
   OnReply reply = std::move(found->second.reply);
   served_.erase(found);
   reply(aReply);
@@ -169,10 +204,10 @@
     // Closing the connection to the upstream cancels the work there and frees the slot.
     upstream_->Cancel(*found->second.request);
     served_.erase(found);
-    Carry(queue_.On(CallFinished{ aTicket }, now));
+    Carry(gate_.On(CallFinished{ aTicket }, now));
   } else {
     served_.erase(found);
-    Carry(queue_.On(CallCancelled{ aTicket }, now));
+    Carry(gate_.On(CallCancelled{ aTicket }, now));
   }
   CheckDrained();
 }
@@ -180,13 +215,14 @@
 void AdmissionService::Drain(std::function<void()> aDone)
 {
   onDrained_ = std::move(aDone);
-  Carry(queue_.Close());
+  isDraining_ = true;
+  Carry(gate_.Close());
   CheckDrained();
 }
 
 void AdmissionService::CheckDrained()
 {
-  if (onDrained_ && queue_.Running() == 0) {
+  if (onDrained_ && gate_.Running() == 0) {
     auto done = std::exchange(onDrained_, nullptr);
     done();
   }
@@ -221,35 +257,58 @@
 
 void AdmissionService::OnLinkClosed(LinkId aLink, const std::vector<LinkMessage>& /* aUnsent */)
 {
-  // Nobody can receive these answers any more. What waits is dropped; what runs is left to
-  // finish, since the caller's node treats it as unknown and the work may matter.
-  std::vector<Ticket> waiting;
+  // Nobody can receive these answers any more. What waits is dropped, and so is work that does no
+  // good and no harm. What may run only once is left to finish: the caller's node treats it as
+  // unknown, and the work may matter.
+  std::vector<Ticket> useless;
   for (auto row = remote_.lower_bound(RemoteCall(aLink, 0));
        row != remote_.end() && row->first.first == aLink;) {
     auto served = served_.find(row->second);
-    if (served != served_.end() && !served->second.request.has_value()) {
-      waiting.push_back(row->second);
+    bool isUseless = served != served_.end() &&
+                     (!served->second.request.has_value() || served->second.call.isIdempotent);
+    if (isUseless) {
+      useless.push_back(row->second);
     }
     row = remote_.erase(row);
   }
-  for (Ticket ticket : waiting) {
+  for (Ticket ticket : useless) {
     Cancel(ticket);
   }
 }
 
 void AdmissionService::Tick()
 {
-  Carry(queue_.Expire(context_.loop.Now()));
+  Carry(gate_.Expire(context_.loop.Now()));
   tick_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
 }
 
-void AdmissionService::TakeSlotsFromConfiguration()
+void AdmissionService::FollowUpstream()
 {
-  const auto& services = releases_->Current()->services;
-  auto found = services.find(context_.settings.service);
-  if (found != services.end()) {
-    queue_.SetSlots(found->second.spec.slots);
+  int64_t slots = upstreamState_->Slots();
+  if (isDraining_) {
+    return;
   }
+  if (slots == 0) {
+    Carry(gate_.Close());
+    return;
+  }
+  gate_.SetSlots(slots);
+  gate_.Open();
+}
+
+void AdmissionService::LogEnd(const Served& aServed, const UpstreamResult& aResult) const
+{
+  Log(LogPart::Admission,
+      LogLevel::Info,
+      "Call {} ended {} at upstream {} after {} ms in a slot and {} ms in all: status {}{}{}.",
+      aServed.call.requestId,
+      NameOf(aResult.outcome),
+      aServed.call.upstreamId,
+      ToMilliseconds(context_.loop.Now() - aServed.startedAt),
+      ToMilliseconds(context_.loop.Now() - aServed.arrivedAt),
+      aResult.status,
+      aResult.fault.empty() ? "" : ", ",
+      aResult.fault);
 }
 
 } // namespace dandelion
--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -43,21 +43,24 @@
   void OnUpstreamResult(Ticket aTicket, const UpstreamResult& aResult);
   void Refuse(Ticket aTicket, ErrorKind aReason);
   void Reply(Ticket aTicket, CallReply aReply);
+  void LogEnd(const Served& aServed, const UpstreamResult& aResult) const;
   void CheckDrained();
   void Tick();
   std::optional<ErrorKind> FindObstacle(const OpenCall& aCall) const;
-  void TakeSlotsFromConfiguration();
+  void FollowUpstream();
 
   const NodeContext& context_;
-  SlotQueue queue_;
+  Gate gate_;
   Links* links_ = nullptr;
   Upstream* upstream_ = nullptr;
+  UpstreamState* upstreamState_ = nullptr;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
   Metrics* metrics_ = nullptr;
   Ticket nextTicket_ = 1;
   std::map<Ticket, Served> served_;
   std::map<RemoteCall, Ticket> remote_;
+  bool isDraining_ = false;
   std::function<void()> onDrained_;
   Timer tick_;
 };
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -1,5 +1,7 @@
 #include "dandeliond/CallsService.h"
 
+#include <algorithm>
+
 namespace dandelion {
 
 namespace {
@@ -8,6 +10,19 @@
 constexpr Duration kCatchUpStep = milliseconds(20);
 constexpr int kMostCatchUpSteps = 25;
 
+/// A refused caller comes back after this, and a share of the shortest wait that is seen.
+constexpr Duration kShortestReturn = milliseconds(100);
+constexpr double kLeastReturnShare = 0.5;
+constexpr double kMostReturnShare = 1.5;
+
+/// A number in [0, 1) from random bits.
+double Fraction(uint64_t aBits)
+{
+  constexpr double kScale = 1.0 / 9007199254740992.0;
+  constexpr int kUnusedBits = 11;
+  return static_cast<double>(aBits >> kUnusedBits) * kScale;
+}
+
 CallerAnswer Refusal(ErrorKind aKind, const std::string& aReason)
 {
   CallerAnswer answer;
@@ -19,7 +34,12 @@
 
 bool IsIdempotent(const CallerRequest& aRequest, const PolicySpec& aPolicy)
 {
-  return aPolicy.idempotent || IsIdempotentMethod(aRequest.method);
+  return !aPolicy.atMostOnce && (aPolicy.idempotent || IsIdempotentMethod(aRequest.method));
+}
+
+RetryLimits LimitsOf(const RetrySettings& aSettings)
+{
+  return RetryLimits{ aSettings.ratio, aSettings.slack };
 }
 
 } // namespace
@@ -28,6 +48,9 @@
   : context_(aContext)
   , choice_(MakeStrategy(aContext.settings.choice), aSeed, aContext.loop.Now())
   , hedging_(MakeHedgeStrategy(aContext.settings.hedge))
+  , splits_(aSeed + 1)
+  , budgets_(LimitsOf(aContext.settings.retries))
+  , random_(aSeed + 2)
 {
 }
 
@@ -41,6 +64,12 @@
   admission_ = &registry.Find<Admission>(ServiceName::Admission);
   metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
   links_->AddHandler(*this);
+  membership_->AddListener([this] {
+    if (context_.settings.environment == EnvironmentName::Platform) {
+      // All nodes spend from the same budgets.
+      budgets_.SetNodes(membership_->Table().CountPresent());
+    }
+  });
   return absl::OkStatus();
 }
 
@@ -54,11 +83,11 @@
 {
   CallId id = nextId_++;
   TimePoint now = context_.loop.Now();
-  budget_.OnCall();
   Call call{ std::move(aRequest),
              std::move(aDone),
              nullptr,
              {},
+             {},
              now,
              {},
              Attempts(false, 1, now),
@@ -69,22 +98,38 @@
              {},
              {} };
   CallerAnswer refusal;
-  if (!Resolve(call, refusal)) {
+  bool isResolved = Resolve(call, refusal);
+  // A newer version that this node has heard of may have the route.
+  bool mayBeNew = refusal.error == ErrorKind::NoRoute && spreading_->IsBehind();
+  if (!isResolved && !mayBeNew) {
+    LogAnswer(call, refusal);
     call.done(refusal);
     return id;
   }
+  calls_.emplace(id, std::move(call));
+  if (isResolved) {
+    Start(id);
+  } else {
+    RouteAnew(id, kMostCatchUpSteps);
+  }
+  return id;
+}
+
+void CallsService::Start(CallId aId)
+{
+  Call& call = calls_.at(aId);
+  TimePoint now = context_.loop.Now();
   const PolicySpec& policy = *call.route.policy;
-  call.limits = LimitsFor(policy, call.request.limits, now);
+  call.limits = LimitsFor(policy, call.request.limits, call.beganAt);
   call.attempts =
     Attempts(IsIdempotent(call.request, policy), call.limits.attempts, call.limits.deadline);
-  call.limit = context_.loop.After(call.limits.deadline - now, [this, id] { OnDeadline(id); });
-  calls_.emplace(id, std::move(call));
-  PlanHedge(id);
-  TryNext(id);
-  return id;
+  call.limit = context_.loop.After(call.limits.deadline - now, [this, aId] { OnDeadline(aId); });
+  budgets_.For(call.service).OnCall();
+  PlanHedge(aId);
+  TryNext(aId);
 }
 
-bool CallsService::Resolve(Call& aCall, CallerAnswer& aRefusal) const
+bool CallsService::Resolve(Call& aCall, CallerAnswer& aRefusal)
 {
   if (!membership_->IsReady()) {
     aRefusal = Refusal(ErrorKind::NotReady, "this node is still joining; call another");
@@ -95,7 +140,12 @@
     return false;
   }
   std::shared_ptr<const RouteTable> routes = releases_->Routes();
-  std::optional<ResolvedRoute> route = routes->Match(aCall.request.target);
+  bool isPlatform = context_.settings.environment == EnvironmentName::Platform;
+  if (isPlatform && routes->Source().version == 0) {
+    aRefusal = Refusal(ErrorKind::NotReady, "this node has no configuration yet; call another");
+    return false;
+  }
+  std::optional<ResolvedRoute> route = routes->Match(aCall.request.target, aCall.request.host);
   if (!route.has_value()) {
     aRefusal =
       Refusal(ErrorKind::NoRoute,
@@ -105,16 +155,31 @@
   // `route` points into its table, so both change together or, on a refusal, not at all.
   aCall.routes = std::move(routes);
   aCall.route = *route;
+  std::vector<std::string> services = ServicesOf(*route->route);
+  if (std::find(services.begin(), services.end(), aCall.service) == services.end()) {
+    aCall.service = splits_.Choose(*route->route);
+  }
   return true;
 }
 
-const Member* CallsService::ChooseFor(const Call& aCall)
+ChoiceQuery CallsService::QueryFor(const Call& aCall) const
 {
-  const ServiceSpec& service = *aCall.route.service;
+  const PolicySpec& policy = *aCall.route.policy;
+  const ServiceSpec& service = aCall.routes->Source().services.at(aCall.service).spec;
   ChoiceQuery query{
-    service.name, aCall.route.policy->crossRegion, milliseconds(service.coldStartMs), aCall.tried
+    aCall.service, policy.crossRegion, milliseconds(service.coldStartMs), aCall.tried
   };
-  return choice_.Choose(membership_->Table(), membership_->Self(), query, context_.loop.Now());
+  query.kind = policy.name;
+  if (policy.targetMs > 0) {
+    query.timeLeft = aCall.beganAt + milliseconds(policy.targetMs) - context_.loop.Now();
+  }
+  return query;
+}
+
+const Member* CallsService::ChooseFor(const Call& aCall)
+{
+  return choice_.Choose(
+    membership_->Table(), membership_->Self(), QueryFor(aCall), context_.loop.Now());
 }
 
 void CallsService::TryNext(CallId aId)
@@ -132,7 +197,7 @@
   Answer(
     aId,
     Refusal(ErrorKind::NoUpstream,
-            fmt::format("service \"{}\" has no upstream within reach", call.route.service->name)));
+            fmt::format("service \"{}\" has no upstream within reach", call.service)));
 }
 
 void CallsService::SendAttempt(CallId aId, const Member& aMember)
@@ -178,7 +243,7 @@
   open.id = aAttempt;
   open.version = aCall.routes->Source().version;
   open.route = aCall.route.route->name;
-  open.service = aCall.route.service->name;
+  open.service = aCall.service;
   open.trafficClass = aCall.limits.trafficClass;
   open.deadlineMs =
     std::max<int64_t>(1, ToMilliseconds(aCall.limits.deadline - context_.loop.Now()));
@@ -187,6 +252,16 @@
   open.target = aCall.request.target;
   open.headers = aCall.request.headers;
   open.body.data = aCall.request.body;
+  const PolicySpec& policy = *aCall.route.policy;
+  open.policy = policy.name;
+  if (policy.targetMs > 0) {
+    Duration left = aCall.beganAt + milliseconds(policy.targetMs) - context_.loop.Now();
+    open.targetMs = std::max<int64_t>(1, ToMilliseconds(left));
+  }
+  open.priority = policy.priority;
+  open.isIdempotent = IsIdempotent(aCall.request, policy);
+  open.callerService = context_.settings.service;
+  open.requestId = aCall.request.id;
   return open;
 }
 
@@ -195,7 +270,7 @@
   Call& call = calls_.at(aId);
   const PolicySpec& policy = *call.route.policy;
   std::optional<Duration> delay = hedging_.DelayFor(
-    call.route.service->name, call.limits.trafficClass, IsIdempotent(call.request, policy));
+    call.service, call.limits.trafficClass, IsIdempotent(call.request, policy));
   if (delay.has_value()) {
     call.hedge = context_.loop.After(*delay, [this, aId] { Hedge(aId); });
   }
@@ -265,14 +340,19 @@
   byAttempt_.erase(found);
   Call& call = calls_.at(id);
   EndAttempt(call, aAttempt, aReply);
-  NextStep next = call.attempts.OnEnded(
-    AttemptEnd{ aReply.outcome, aReply.isRetried }, budget_, context_.loop.Now());
-  if (aReply.outcome != CallOutcome::Ran && !call.open.empty()) {
+  constexpr int64_t kFirstFailure = 500;
+  AttemptEnd end{ aReply.outcome, aReply.isRetried };
+  end.hasReachedUpstream = aReply.hasReachedUpstream || aReply.outcome == CallOutcome::Unknown;
+  end.hasFailed = aReply.outcome == CallOutcome::Ran && aReply.status >= kFirstFailure;
+  NextStep next =
+    call.attempts.OnEnded(end, budgets_.For(call.service), context_.loop.Now());
+  if ((aReply.outcome != CallOutcome::Ran || next == NextStep::TryAnother) &&
+      !call.open.empty()) {
     // The other attempt of a hedged call may still answer.
     return;
   }
   if (next == NextStep::Answer) {
-    Answer(id, AnswerFromReply(call, aReply));
+    Answer(id, AnswerFromReply(call, call.lastReply));
     return;
   }
   metrics_->Count(CounterName::Retries, ClassLabel(call.limits.trafficClass));
@@ -288,13 +368,26 @@
   auto found = aCall.open.find(aAttempt);
   TimePoint now = context_.loop.Now();
   AttemptEvidence evidence;
-  evidence.hasFailed =
-    aReply.outcome == CallOutcome::Unknown || aReply.error == ErrorKind::Unreachable;
+  bool isRefusedByUpstream = aReply.outcome == CallOutcome::NotRun && aReply.hasReachedUpstream;
+  evidence.hasFailed = aReply.outcome == CallOutcome::Unknown || isRefusedByUpstream ||
+                       aReply.error == ErrorKind::Unreachable;
   evidence.queueLength = aReply.queueLength;
+  evidence.kind = aCall.route.policy->name;
+  evidence.answerBytes = aReply.body.data.size();
+  if (aReply.slots > 0) {
+    evidence.gate = GateEvidence{ aReply.queueLength,
+                                  aReply.slots,
+                                  aReply.freeSlots,
+                                  Duration(aReply.waitUs),
+                                  Duration(aReply.workUs) };
+  }
   evidence.taken = now - found->second.sentAt;
   choice_.OnAttemptEnded(found->second.member, evidence, now);
   aCall.open.erase(found);
-  aCall.lastReply = aReply;
+  // An answer of the upstream is worth more than the word of a later attempt that had none.
+  if (aReply.outcome == CallOutcome::Ran || aCall.lastReply.outcome != CallOutcome::Ran) {
+    aCall.lastReply = aReply;
+  }
 }
 
 void CallsService::RouteAnew(CallId aId, int aChecksLeft)
@@ -312,15 +405,21 @@
   CallerAnswer refusal;
   if (!Resolve(call, refusal)) {
     Answer(aId, refusal);
-    return;
+  } else if (call.limits.attempts == 0) {
+    Start(aId);
+  } else {
+    TryNext(aId);
   }
-  TryNext(aId);
 }
 
 void CallsService::OnDeadline(CallId aId)
 {
   Call& call = calls_.at(aId);
-  bool mayRun = !call.open.empty() || call.attempts.Combined() == CallOutcome::Unknown;
+  if (call.lastReply.outcome == CallOutcome::Ran) {
+    Answer(aId, AnswerFromReply(call, call.lastReply));
+    return;
+  }
+  bool mayRun = !call.open.empty() || call.attempts.Combined() != CallOutcome::NotRun;
   CallerAnswer answer;
   answer.outcome = mayRun ? CallOutcome::Unknown : CallOutcome::NotRun;
   answer.error = ErrorKind::DeadlineExceeded;
@@ -361,13 +460,18 @@
   Call call = std::move(found->second);
   calls_.erase(found);
   DropAttempts(call);
+  bool isShed = aAnswer.outcome == CallOutcome::NotRun && call.route.policy != nullptr;
+  if (isShed) {
+    aAnswer.retryAfter = SuggestReturn(call);
+  }
+  LogAnswer(call, aAnswer);
   Duration taken = context_.loop.Now() - call.beganAt;
   MetricLabel label = ClassLabel(call.limits.trafficClass);
   metrics_->Observe(HistogramName::CallTime, label, taken);
   metrics_->Count(CounterName::CallsAnswered,
                   fmt::format("{},outcome=\"{}\"", label, NameOf(aAnswer.outcome)));
   if (aAnswer.outcome == CallOutcome::Ran) {
-    hedging_.OnAnswered(call.route.service->name, taken);
+    hedging_.OnAnswered(call.service, taken);
   }
   call.done(aAnswer);
 }
@@ -387,10 +491,38 @@
                    ? ErrorKind::OutcomeUnknown
                    : aReply.error.value_or(ErrorKind::NoUpstream);
   answer.reason =
-    fmt::format("service \"{}\": {}", aCall.route.service->name, NameOf(*answer.error));
+    fmt::format("service \"{}\": {}", aCall.service, NameOf(*answer.error));
   return answer;
 }
 
+Duration CallsService::SuggestReturn(const Call& aCall)
+{
+  Duration wait = choice_.ShortestWait(membership_->Table(), QueryFor(aCall), context_.loop.Now());
+  // Spread over a span as long as the wait, so that those refused together do not return together.
+  double share = kLeastReturnShare + (kMostReturnShare - kLeastReturnShare) * Fraction(random_());
+  return kShortestReturn + Duration(static_cast<int64_t>(share * static_cast<double>(wait.count())));
+}
+
+void CallsService::LogAnswer(const Call& aCall, const CallerAnswer& aAnswer) const
+{
+  bool isOrdinary = aAnswer.outcome == CallOutcome::Ran && !aAnswer.isRetried;
+  if (isOrdinary) {
+    return;
+  }
+  bool isRouted = aCall.route.route != nullptr;
+  Log(LogPart::Calls,
+      LogLevel::Info,
+      "Call {} on route {} of version {} to {} is answered {} after {} ms and {} members: {}.",
+      aCall.request.id,
+      isRouted ? aCall.route.route->name : "-",
+      isRouted ? aCall.routes->Source().version : releases_->Current()->version,
+      aCall.service,
+      NameOf(aAnswer.outcome),
+      ToMilliseconds(context_.loop.Now() - aCall.beganAt),
+      aCall.tried.size(),
+      aAnswer.error.has_value() ? NameOf(*aAnswer.error) : "repeated");
+}
+
 Lane CallsService::LaneFor(TrafficClass aClass) const
 {
   bool isLong = aClass == TrafficClass::Bulk || aClass == TrafficClass::Background;
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -5,6 +5,7 @@
 #include "dandeliond/Services.h"
 
 #include <map>
+#include <random>
 #include <set>
 
 namespace dandelion {
@@ -44,7 +45,10 @@
     /// The snapshot that the call is routed by; a retry takes the newest one.
     std::shared_ptr<const RouteTable> routes;
     ResolvedRoute route;
+    /// Where the call goes; one of the route's services.
+    std::string service;
     TimePoint beganAt;
+    /// Without attempts until the call has a route.
     CallLimits limits;
     Attempts attempts;
     std::set<std::string> tried;
@@ -55,7 +59,11 @@
     Timer hedge;
   };
 
-  bool Resolve(Call& aCall, CallerAnswer& aRefusal) const;
+  bool Resolve(Call& aCall, CallerAnswer& aRefusal);
+  void Start(CallId aId);
+  ChoiceQuery QueryFor(const Call& aCall) const;
+  Duration SuggestReturn(const Call& aCall);
+  void LogAnswer(const Call& aCall, const CallerAnswer& aAnswer) const;
   const Member* ChooseFor(const Call& aCall);
   void TryNext(CallId aId);
   void SendAttempt(CallId aId, const Member& aMember);
@@ -75,7 +83,9 @@
   const NodeContext& context_;
   UpstreamChoice choice_;
   Hedging hedging_;
-  RetryBudget budget_;
+  SplitChoice splits_;
+  RetryBudgets budgets_;
+  std::mt19937_64 random_;
   Links* links_ = nullptr;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
--- a/src/dandeliond/FrontService.cpp
+++ b/src/dandeliond/FrontService.cpp
@@ -4,16 +4,17 @@
 
 namespace {
 
-CallerRequest ToCallerRequest(const HttpRequest& aRequest)
+/// A refusal that promises "not run" needs a status that callers take as that promise.
+constexpr int kNotRunStatus = 503;
+/// Callers that keep within their idle time see no connection closed at that very moment.
+constexpr int64_t kIdleMarginPercent = 150;
+
+int StatusFor(const CallerAnswer& aAnswer, ErrorKind aKind)
 {
-  CallerRequest request;
-  request.method = aRequest.method;
-  request.target = aRequest.target;
-  request.body = aRequest.body;
-  for (const auto& [name, value] : aRequest.headers) {
-    request.headers.push_back({ name, value });
-  }
-  return request;
+  int status = AnswerFor(aKind).httpStatus;
+  constexpr int kFirstServerError = 500;
+  bool isNotRun = aAnswer.outcome == CallOutcome::NotRun;
+  return isNotRun && status >= kFirstServerError ? kNotRunStatus : status;
 }
 
 HttpResponse ToHttpResponse(const CallerAnswer& aAnswer)
@@ -29,7 +30,11 @@
     return response;
   }
   ErrorKind kind = aAnswer.error.value_or(ErrorKind::Internal);
-  response.status = AnswerFor(kind).httpStatus;
+  response.status = StatusFor(aAnswer, kind);
+  if (aAnswer.retryAfter.has_value()) {
+    double wait = std::chrono::duration<double>(*aAnswer.retryAfter).count();
+    response.headers.emplace_back("Retry-After", fmt::format("{:.3f}", wait));
+  }
   response.headers.emplace_back(kErrorHeader, std::string(NameOf(kind)));
   if (aAnswer.isRetried) {
     response.headers.emplace_back(kRetriedHeader, "yes");
@@ -51,13 +56,42 @@
 absl::Status FrontService::Start()
 {
   calls_ = &context_.registry.Find<Calls>(ServiceName::Calls);
+  releases_ = &context_.registry.Find<Releases>(ServiceName::Releases);
+  releases_->AddListener([this] { TakeLimits(); });
   return server_.Listen(context_.settings.front, HttpLimits());
 }
 
+void FrontService::TakeLimits()
+{
+  const CallerLimits& limits = releases_->Current()->limits;
+  HttpLimits taken;
+  taken.mostHeaderBytes = static_cast<size_t>(limits.mostHeaderBytes);
+  taken.mostBodyBytes = static_cast<size_t>(limits.mostBodyBytes);
+  taken.headTime = milliseconds(limits.headTimeMs);
+  taken.idleTime = milliseconds(limits.idleTimeMs * kIdleMarginPercent / 100);
+  server_.SetLimits(taken);
+}
+
+CallerRequest FrontService::ToCallerRequest(const HttpRequest& aRequest) const
+{
+  CallerRequest request;
+  request.method = aRequest.method;
+  request.target = aRequest.target;
+  request.body = aRequest.body;
+  request.host = FindHeader(aRequest.headers, "Host");
+  if (!context_.vocabulary.requestId.empty()) {
+    request.id = FindHeader(aRequest.headers, context_.vocabulary.requestId);
+  }
+  for (const auto& [name, value] : aRequest.headers) {
+    request.headers.push_back({ name, value });
+  }
+  return request;
+}
+
 void FrontService::OnRequest(std::shared_ptr<HttpExchange> aExchange)
 {
   CallerRequest request = ToCallerRequest(aExchange->Request());
-  auto limits = ReadLimits(aExchange->Request().headers);
+  auto limits = ReadLimits(aExchange->Request().headers, context_.vocabulary);
   if (!limits.ok()) {
     CallerAnswer refusal;
     refusal.error = KindOf(limits.status());
--- a/src/dandeliond/FrontService.h
+++ b/src/dandeliond/FrontService.h
@@ -6,18 +6,27 @@
 
 namespace dandelion {
 
-class FrontService : public Service
+class FrontService
+  : public Service
+  , public Front
 {
 public:
   explicit FrontService(const NodeContext& aContext);
 
   absl::Status Start() override;
   void Stop() override { server_.StopListening(); }
+  void BeginClosing() override { server_.BeginClosing(); }
+  void StopListening() override { server_.StopListening(); }
+  size_t Busy() const override { return server_.Busy(); }
 
 private:
   void OnRequest(std::shared_ptr<HttpExchange> aExchange);
 
+  void TakeLimits();
+  CallerRequest ToCallerRequest(const HttpRequest& aRequest) const;
+
   const NodeContext& context_;
+  Releases* releases_ = nullptr;
   Calls* calls_ = nullptr;
   HttpServer server_;
 };
--- a/src/dandeliond/MembershipService.cpp
+++ b/src/dandeliond/MembershipService.cpp
@@ -20,6 +20,7 @@
   self.endpoint = aSettings.peers;
   self.farEndpoint = aSettings.peersFromOtherRegions.value_or(aSettings.peers);
   self.incarnation = aIncarnation;
+  self.slots = 0;
   return self;
 }
 
@@ -65,11 +66,18 @@
   log_ = &registry.Find<ReleaseLog>(ServiceName::ReleaseLog);
   releases_ = &registry.Find<Releases>(ServiceName::Releases);
   spreading_ = &registry.Find<Spreading>(ServiceName::Spreading);
+  upstream_ = &registry.Find<UpstreamState>(ServiceName::UpstreamState);
+  auto onUpstream = [this] { Carry(prober_.SetSlots(upstream_->Slots(), context_.loop.Now())); };
+  upstream_->AddListener(onUpstream);
+  onUpstream();
   links_->AddHandler(*this);
   datagrams_->AddHandler(
     [this](const Endpoint& aFrom, const Datagram& aDatagram) { OnDatagram(aFrom, aDatagram); });
   releases_->AddListener([this] {
     prober_.SetVersion(releases_->Current()->version);
+    if (isReady_) {
+      Carry(prober_.ShowVersion(context_.loop.Now()));
+    }
     TryToFinishJoining();
   });
   knownSeeds_.insert(context_.settings.seeds.begin(), context_.settings.seeds.end());
@@ -133,12 +141,26 @@
 
 void MembershipService::OnDatagram(const Endpoint& aFrom, const Datagram& aDatagram)
 {
-  // A process that has not joined is no member yet, so it must not answer as one.
-  if (isReady_ && IsProbe(aDatagram)) {
+  if (!IsProbe(aDatagram)) {
+    return;
+  }
+  if (isReady_) {
     Carry(prober_.OnMessage(aFrom, ToProbeMessage(aDatagram), context_.loop.Now()));
+  } else {
+    // A process that has not joined is no member yet, so it must not answer as one; but whoever
+    // looks for it is a member that can tell it of the others.
+    MeetSeeds({ aFrom });
   }
 }
 
+bool MembershipService::IsFenced(TimePoint aNow) const
+{
+  // A fence keeps "in force everywhere" true. Where nobody is told that, a node that is cut off
+  // serves its own callers as well as it can.
+  bool isNeeded = context_.settings.environment == EnvironmentName::Standalone;
+  return isNeeded && prober_.IsFenced(aNow);
+}
+
 void MembershipService::OnLinkMessage(LinkId aLink, const LinkMessage& aMessage)
 {
   std::visit(
@@ -238,7 +260,7 @@
   std::set<Endpoint> peers = knownSeeds_;
   for (const auto& [id, member] : prober_.Table().All()) {
     const Endpoint& endpoint = EndpointFrom(context_.settings.region, member);
-    bool canAnswer = id != context_.settings.id && TakesWork(member);
+    bool canAnswer = id != context_.settings.id && IsPresent(member);
     // Members that are gone cannot answer, so they are not waited for.
     if (canAnswer) {
       peers.insert(endpoint);
@@ -312,7 +334,8 @@
 void MembershipService::AskForWitness()
 {
   TimePoint now = context_.loop.Now();
-  if (isAskingWitness_ || !prober_.WantsWitness(now)) {
+  bool needsWitness = context_.settings.environment == EnvironmentName::Standalone;
+  if (isAskingWitness_ || !needsWitness || !prober_.WantsWitness(now)) {
     return;
   }
   isAskingWitness_ = true;
--- a/src/dandeliond/MembershipService.h
+++ b/src/dandeliond/MembershipService.h
@@ -21,7 +21,8 @@
   const MemberTable& Table() const override { return prober_.Table(); }
   const Member& Self() const override { return prober_.Self(); }
   bool IsReady() const override { return isReady_; }
-  bool IsFenced(TimePoint aNow) const override { return prober_.IsFenced(aNow); }
+  bool IsFenced(TimePoint aNow) const override;
+  bool IsIsolated(TimePoint aNow) const override { return prober_.IsIsolated(aNow); }
   std::vector<const Member*> CountedInZone(TimePoint aNow) const override
   {
     return prober_.CountedInZone(aNow);
@@ -67,6 +68,7 @@
   ReleaseLog* log_ = nullptr;
   Releases* releases_ = nullptr;
   Spreading* spreading_ = nullptr;
+  UpstreamState* upstream_ = nullptr;
   std::set<Endpoint> knownSeeds_;
   std::set<Endpoint> asked_;
   bool isReady_ = false;
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -5,11 +5,15 @@
 #include "dandeliond/FrontService.h"
 #include "dandeliond/MembershipService.h"
 #include "dandeliond/OperatorService.h"
+#include "dandeliond/ReadinessService.h"
 #include "dandeliond/ReleaseLogService.h"
 #include "dandeliond/ReleasesService.h"
 #include "dandeliond/SeedsService.h"
 #include "dandeliond/SpreadingService.h"
+#include "dandeliond/StoredConfigurationService.h"
 #include "dandeliond/SubmissionsService.h"
+#include "dandeliond/UpstreamStateServices.h"
+#include "platform/Platform.h"
 
 namespace dandelion {
 
@@ -21,29 +25,97 @@
 /// Lets the last answers and the news of the end leave the process.
 constexpr Duration kLastWords = milliseconds(100);
 
+/// A node among release notes in an etcd store.
+struct Standalone
+{};
+/// A node on the platform.
+struct OnPlatform
+{};
+using Environment = std::variant<Standalone, OnPlatform>;
+
+Environment MakeEnvironment(EnvironmentName aName)
+{
+  return aName == EnvironmentName::Platform ? Environment(OnPlatform{})
+                                            : Environment(Standalone{});
+}
+
+CallVocabulary VocabularyOf(EnvironmentName aName)
+{
+  return std::visit(Overloaded{
+                      [](const Standalone&) { return CallVocabulary(); },
+                      [](const OnPlatform&) { return platform::MakeVocabulary(); },
+                    },
+                    MakeEnvironment(aName));
+}
+
+std::unique_ptr<Service> MakeStore(Loop& aLoop, const NodeSettings& aSettings)
+{
+  Duration limit = milliseconds(aSettings.store.timeoutMs);
+  return std::visit(
+    Overloaded{
+      [&](const Standalone&) -> std::unique_ptr<Service> {
+        return std::make_unique<EtcdStore>(aLoop, aSettings.store.servers, limit);
+      },
+      [&](const OnPlatform&) -> std::unique_ptr<Service> {
+        return std::make_unique<platform::KeyValueStore>(
+          aLoop, aSettings.store.servers.front(), limit);
+      },
+    },
+    MakeEnvironment(aSettings.environment));
+}
+
+std::unique_ptr<Service> MakeReleaseLog(const NodeContext& aContext)
+{
+  return std::visit(Overloaded{
+                      [&](const Standalone&) -> std::unique_ptr<Service> {
+                        return std::make_unique<ReleaseLogService>(aContext);
+                      },
+                      [&](const OnPlatform&) -> std::unique_ptr<Service> {
+                        return std::make_unique<StoredConfigurationService>(
+                          aContext, platform::kConfigurationKey, &platform::ReadConfiguration);
+                      },
+                    },
+                    MakeEnvironment(aContext.settings.environment));
+}
+
+std::unique_ptr<Service> MakeUpstreamState(const NodeContext& aContext)
+{
+  return std::visit(
+    Overloaded{
+      [&](const Standalone&) -> std::unique_ptr<Service> {
+        return std::make_unique<ConfiguredUpstreamService>(aContext);
+      },
+      [&](const OnPlatform&) -> std::unique_ptr<Service> {
+        ReportProtocol protocol{ &platform::ReadReport, &platform::AcknowledgeReport };
+        return std::make_unique<ReportedUpstreamService>(aContext, protocol);
+      },
+    },
+    MakeEnvironment(aContext.settings.environment));
+}
+
 } // namespace
 
 Node::Node(Loop& aLoop, NodeSettings aSettings, uint64_t aIncarnation, uint64_t aSeed)
   : loop_(aLoop)
   , settings_(std::move(aSettings))
-  , context_{ loop_, registry_, settings_ }
+  , context_{ loop_, registry_, settings_, VocabularyOf(settings_.environment) }
 {
   Hello hello{ settings_.id, settings_.peers };
   SharedKeys nodeKeys(settings_.keys.nodes);
-  Duration storeLimit = milliseconds(settings_.store.timeoutMs);
   auto add = [&](ServiceName aName, std::unique_ptr<Service> aService) {
     registry_.Add(aName, std::move(aService));
   };
   add(ServiceName::Metrics, std::make_unique<MetricsService>());
-  add(ServiceName::Store, std::make_unique<EtcdStore>(loop_, settings_.store.servers, storeLimit));
+  add(ServiceName::Store, MakeStore(loop_, settings_));
   bool cutsLargeMessages = settings_.lanes == LanesName::ByClass;
   add(ServiceName::Links,
       std::make_unique<WebsocketLinks>(
         loop_, settings_.peers, hello, nodeKeys, aSeed + 4, cutsLargeMessages));
   add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers, nodeKeys));
-  add(ServiceName::Upstream, std::make_unique<HttpUpstream>(loop_, settings_.upstream));
+  add(ServiceName::Upstream, std::make_unique<HttpUpstream>(loop_, settings_.upstream, context_.vocabulary));
   add(ServiceName::Releases, std::make_unique<ReleasesService>());
-  add(ServiceName::ReleaseLog, std::make_unique<ReleaseLogService>(context_));
+  add(ServiceName::UpstreamState, MakeUpstreamState(context_));
+  add(ServiceName::ReleaseLog, MakeReleaseLog(context_));
   add(ServiceName::Spreading, std::make_unique<SpreadingService>(context_, aSeed));
   add(ServiceName::Membership,
       std::make_unique<MembershipService>(context_, aIncarnation, aSeed + 1));
@@ -52,6 +124,10 @@
   add(ServiceName::Admission, std::make_unique<AdmissionService>(context_));
   add(ServiceName::Calls, std::make_unique<CallsService>(context_, aSeed + 2));
   add(ServiceName::Front, std::make_unique<FrontService>(context_));
+  if (settings_.readiness.has_value()) {
+    add(ServiceName::Readiness,
+        std::make_unique<ReadinessService>(context_, platform::kReadyPath));
+  }
   add(ServiceName::Operator, std::make_unique<OperatorService>(context_));
 }
 
@@ -67,9 +143,14 @@
   }
   isStopping_ = true;
   TimePoint now = loop_.Now();
-  earliestStop_ = now + kLeaveNotice;
-  stopDeadline_ = now + std::max<Duration>(kLeaveNotice, milliseconds(settings_.drainMs));
+  // Callers are told where to go first; until they have gone, what they send is still served.
+  earliestStop_ = now + std::max<Duration>(kLeaveNotice, milliseconds(settings_.stopNoticeMs));
+  stopDeadline_ = std::max(earliestStop_, now + milliseconds(settings_.drainMs));
   Log(LogPart::Kernel, LogLevel::Info, "{} is leaving and finishes its work.", settings_.id);
+  if (settings_.readiness.has_value()) {
+    registry_.Find<Readiness>(ServiceName::Readiness).BeginStop();
+  }
+  registry_.Find<Front>(ServiceName::Front).BeginClosing();
   registry_.Find<Membership>(ServiceName::Membership).Leave(MemberState::Leaving);
   registry_.Find<Admission>(ServiceName::Admission).Drain([this] { isDrained_ = true; });
   StopWhenIdle();
@@ -78,8 +159,18 @@
 void Node::StopWhenIdle()
 {
   TimePoint now = loop_.Now();
-  bool isIdle = isDrained_ && registry_.Find<Calls>(ServiceName::Calls).InProgress() == 0;
+  Front& front = registry_.Find<Front>(ServiceName::Front);
+  if (now >= earliestStop_) {
+    front.StopListening();
+  }
+  bool isIdle = isDrained_ && registry_.Find<Calls>(ServiceName::Calls).InProgress() == 0 &&
+                front.Busy() == 0;
   if ((isIdle && now >= earliestStop_) || now >= stopDeadline_) {
+    Log(LogPart::Kernel,
+        LogLevel::Info,
+        "{} stops with {} calls in progress.",
+        settings_.id,
+        registry_.Find<Calls>(ServiceName::Calls).InProgress());
     registry_.Find<Membership>(ServiceName::Membership).Leave(MemberState::Gone);
     timer_ = loop_.After(kLastWords, [this] { loop_.Stop(); });
     return;
--- a/src/dandeliond/NodeSettings.cpp
+++ b/src/dandeliond/NodeSettings.cpp
@@ -52,6 +52,12 @@
   claim("front", aSettings.front);
   claim("operators", aSettings.operators);
   claim("peers", aSettings.peers);
+  if (aSettings.readiness.has_value()) {
+    claim("readiness", *aSettings.readiness);
+  }
+  if (aSettings.reports.has_value()) {
+    claim("reports", *aSettings.reports);
+  }
 }
 
 /// The fault does not show the key: it would end in a log.
@@ -74,6 +80,12 @@
   CheckEndpoint(faults, "front", aSettings.front);
   CheckEndpoint(faults, "operators", aSettings.operators);
   CheckEndpoint(faults, "peers", aSettings.peers);
+  if (aSettings.readiness.has_value()) {
+    CheckEndpoint(faults, "readiness", *aSettings.readiness);
+  }
+  if (aSettings.reports.has_value()) {
+    CheckEndpoint(faults, "reports", *aSettings.reports);
+  }
   if (aSettings.peersFromOtherRegions.has_value()) {
     CheckEndpoint(faults, "peers_from_other_regions", *aSettings.peersFromOtherRegions);
   }
@@ -82,6 +94,10 @@
   if (aSettings.store.servers.empty()) {
     faults.emplace_back("store.servers is empty; name at least one server of the store");
   }
+  if (aSettings.environment == EnvironmentName::Platform &&
+      !(aSettings.readiness.has_value() && aSettings.reports.has_value())) {
+    faults.emplace_back("readiness and reports must be set where environment is \"platform\"");
+  }
   CheckKeys(faults, "keys.nodes", aSettings.keys.nodes);
   CheckKeys(faults, "keys.operators", aSettings.keys.operators);
   CheckClashes(faults, aSettings);
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -25,10 +25,36 @@
   };
 };
 
+/// Where a node runs: which store it speaks to, where configurations come from, and how callers,
+/// upstreams and whoever starts the process speak to it.
+enum class EnvironmentName
+{
+  /// Release notes in the log of an etcd store.
+  Standalone,
+  /// Whole configurations in the platform's store; upstreams report themselves.
+  Platform,
+};
+
+template<>
+struct EnumNames<EnvironmentName>
+{
+  static constexpr EnumName<EnvironmentName> kTable[] = {
+    { EnvironmentName::Standalone, "standalone" },
+    { EnvironmentName::Platform, "platform" },
+  };
+};
+
+/// Bounds of what all nodes together may add to the calls of a service by repeats.
+struct RetrySettings
+{
+  double ratio = 0.1;
+  double slack = 10;
+};
+
 struct StoreSettings
 {
   std::vector<Endpoint> servers;
-  /// The region in which the store stands.
+  /// The region in which the store stands; empty where that is not known.
   std::string region;
   int64_t timeoutMs = 1000;
 };
@@ -72,16 +98,31 @@
   LanesName lanes = LanesName::ByClass;
   /// Longest time a planned stop waits for calls in progress.
   int64_t drainMs = 30000;
+  /// How long a node that stops still takes callers' requests, until they have been sent elsewhere.
+  int64_t stopNoticeMs = 0;
+  EnvironmentName environment = EnvironmentName::Standalone;
+  /// Where it is asked whether the node takes work.
+  std::optional<Endpoint> readiness;
+  /// Where the upstream reports itself.
+  std::optional<Endpoint> reports;
+  RetrySettings retries;
 };
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, StoreSettings& aSettings)
 {
   aVisitor.Field("servers", aSettings.servers);
-  aVisitor.Field("region", aSettings.region, TextUpTo{ kLongestName });
+  aVisitor.OptionalField("region", aSettings.region);
   aVisitor.OptionalField("timeout_ms", aSettings.timeoutMs, Between{ 10, 60000 });
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, RetrySettings& aSettings)
+{
+  aVisitor.OptionalField("ratio", aSettings.ratio);
+  aVisitor.OptionalField("slack", aSettings.slack);
+}
+
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, KeySettings& aSettings)
 {
@@ -110,6 +151,11 @@
   aVisitor.OptionalField("hedge", aSettings.hedge);
   aVisitor.OptionalField("lanes", aSettings.lanes);
   aVisitor.OptionalField("drain_ms", aSettings.drainMs, Between{ 0, 3600000 });
+  aVisitor.OptionalField("stop_notice_ms", aSettings.stopNoticeMs, Between{ 0, 3600000 });
+  aVisitor.OptionalField("environment", aSettings.environment);
+  aVisitor.OptionalField("readiness", aSettings.readiness);
+  aVisitor.OptionalField("reports", aSettings.reports);
+  aVisitor.OptionalField("retries", aSettings.retries);
 }
 
 /// Parses and checks settings. The error lists every fault with its path and the remedy.
--- /dev/null
+++ b/src/dandeliond/ReadinessService.cpp
@@ -0,0 +1,33 @@
+#include "dandeliond/ReadinessService.h"
+
+namespace dandelion {
+
+ReadinessService::ReadinessService(const NodeContext& aContext, std::string aPath)
+  : context_(aContext)
+  , path_(std::move(aPath))
+  , server_(
+      aContext.loop,
+      [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); })
+{
+}
+
+absl::Status ReadinessService::Start()
+{
+  membership_ = &context_.registry.Find<Membership>(ServiceName::Membership);
+  releases_ = &context_.registry.Find<Releases>(ServiceName::Releases);
+  return server_.Listen(*context_.settings.readiness, HttpLimits());
+}
+
+void ReadinessService::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  HttpResponse response;
+  bool knowsConfiguration = membership_->IsReady() && releases_->Current()->version > 0;
+  if (aExchange->Request().target != path_) {
+    response.status = AnswerFor(ErrorKind::UnknownObject).httpStatus;
+  } else if (isStopping_ || !knowsConfiguration) {
+    response.status = AnswerFor(ErrorKind::NotReady).httpStatus;
+  }
+  aExchange->Reply(response);
+}
+
+} // namespace dandelion
--- /dev/null
+++ b/src/dandeliond/ReadinessService.h
@@ -0,0 +1,33 @@
+/// Tells the platform whether this node takes callers' work.
+#ifndef DANDELION_DANDELIOND_READINESS_SERVICE_H
+#define DANDELION_DANDELIOND_READINESS_SERVICE_H
+
+#include "dandeliond/Services.h"
+
+namespace dandelion {
+
+class ReadinessService
+  : public Service
+  , public Readiness
+{
+public:
+  ReadinessService(const NodeContext& aContext, std::string aPath);
+
+  absl::Status Start() override;
+  void Stop() override { server_.StopListening(); }
+  void BeginStop() override { isStopping_ = true; }
+
+private:
+  void OnRequest(const std::shared_ptr<HttpExchange>& aExchange);
+
+  const NodeContext& context_;
+  std::string path_;
+  Membership* membership_ = nullptr;
+  Releases* releases_ = nullptr;
+  HttpServer server_;
+  bool isStopping_ = false;
+};
+
+} // namespace dandelion
+
+#endif
--- a/src/dandeliond/SeedsService.cpp
+++ b/src/dandeliond/SeedsService.cpp
@@ -1,6 +1,8 @@
 #include "dandeliond/SeedsService.h"
 
-#include <algorithm>
+#include "absl/strings/match.h"
+
+#include <map>
 
 namespace dandelion {
 
@@ -15,7 +17,7 @@
 constexpr int64_t kPeriodJitterMs = 500;
 constexpr size_t kMostPerZone = 4;
 
-/// A first contact as the store keeps it, under the key of its zone.
+/// A first contact as the store keeps it, under its zone and its own name: writers never meet.
 struct Seed
 {
   std::string region;
@@ -60,7 +62,7 @@
   Duration jitter = milliseconds(static_cast<int64_t>(random_() % kPeriodJitterMs));
   timer_ = context_.loop.After(period + jitter, [this] { Read(); });
   bool isNeeded = !membership_->IsReady() || IsRelayOrAlone();
-  if (!isNeeded || !TakesWork(membership_->Self())) {
+  if (!isNeeded || !IsPresent(membership_->Self())) {
     return;
   }
   ReadRequest request;
@@ -78,42 +80,55 @@
     return;
   }
   membership_->OnStoreAnswered(aAskedAt);
-  std::string ownZone;
+  std::string ownPrefix = fmt::format("{}{}/", kSeedsPrefix, context_.settings.zone);
+  std::map<std::string, Endpoint> listed;
   std::vector<Endpoint> contacts;
   for (const KeyValue& item : aResult->items) {
-    auto seeds = Decode<std::vector<Seed>>(item.value);
-    if (item.key == kSeedsPrefix + context_.settings.zone) {
-      ownZone = item.value;
+    auto seed = Decode<Seed>(item.value);
+    if (!seed.ok()) {
+      Log(LogPart::Store,
+          LogLevel::Warning,
+          "Key {} holds no first contact and is passed over.",
+          item.key);
+      continue;
     }
-    for (const Seed& seed : seeds.value_or(std::vector<Seed>())) {
-      bool isNear = seed.region == context_.settings.region;
-      contacts.push_back(isNear ? seed.endpoint : seed.farEndpoint);
+    bool isNear = seed->region == context_.settings.region;
+    contacts.push_back(isNear ? seed->endpoint : seed->farEndpoint);
+    if (absl::StartsWith(item.key, ownPrefix)) {
+      listed[item.key] = seed->endpoint;
     }
   }
   membership_->MeetSeeds(contacts);
   if (membership_->IsReady()) {
-    OfferSelf(ownZone);
+    OfferSelf(listed);
   }
 }
 
-void SeedsService::OfferSelf(const std::string& aListed)
+void SeedsService::OfferSelf(const std::map<std::string, Endpoint>& aListed)
 {
-  auto listed = Decode<std::vector<Seed>>(aListed).value_or(std::vector<Seed>());
   const Member& self = membership_->Self();
-  auto isSelf = [&](const Seed& aSeed) { return aSeed.endpoint == self.endpoint; };
-  bool isListed = std::any_of(listed.begin(), listed.end(), isSelf);
-  if (isListed || !IsRelayOrAlone()) {
-    return;
-  }
-  // Two relays may write at once and one of them is lost; it writes again at its next look.
-  std::vector<Seed> seeds{ Seed{ self.region, self.endpoint, self.farEndpoint } };
-  for (const Seed& other : listed) {
-    bool isThere = membership_->Table().FindByEndpoint(other.endpoint) != nullptr;
-    if (seeds.size() < kMostPerZone && isThere) {
-      seeds.push_back(other);
+  size_t living = 0;
+  auto ignore = [](const absl::Status&) {};
+  for (const auto& [key, endpoint] : aListed) {
+    if (endpoint == self.endpoint && key == OwnKey()) {
+      return;
+    }
+    bool isThere = membership_->Table().FindByEndpoint(endpoint) != nullptr;
+    living += isThere ? 1 : 0;
+    if (!isThere && IsRelayOrAlone() && membership_->Table().All().size() > 1) {
+      // The node may only be unknown to us; it lists itself again at its next look.
+      store_->DeleteRange(key, key + '\0', ignore);
     }
   }
-  store_->Put(kSeedsPrefix + self.zone, Encode(seeds), std::nullopt, [](const absl::Status&) {});
+  if (living < kMostPerZone) {
+    Seed seed{ self.region, self.endpoint, self.farEndpoint };
+    store_->Put(OwnKey(), Encode(seed), std::nullopt, ignore);
+  }
+}
+
+std::string SeedsService::OwnKey() const
+{
+  return fmt::format("{}{}/{}", kSeedsPrefix, context_.settings.zone, context_.settings.id);
 }
 
 bool SeedsService::IsRelayOrAlone() const
--- a/src/dandeliond/SeedsService.h
+++ b/src/dandeliond/SeedsService.h
@@ -1,9 +1,10 @@
-/// First contacts in the store: one key for each zone, kept by the zone's relays.
+/// First contacts in the store: one key for each of a few members of every zone.
 #ifndef DANDELION_DANDELIOND_SEEDS_SERVICE_H
 #define DANDELION_DANDELIOND_SEEDS_SERVICE_H
 
 #include "dandeliond/Services.h"
 
+#include <map>
 #include <random>
 
 namespace dandelion {
@@ -20,9 +21,11 @@
 private:
   void Read();
   void OnRead(const absl::StatusOr<ReadResult>& aResult, TimePoint aAskedAt);
-  /// `aListed` is the stored value of our zone's key.
-  void OfferSelf(const std::string& aListed);
+  /// Lists this node where its zone has too few contacts that live. `aListed` are the stored
+  /// contacts of the zone, by key.
+  void OfferSelf(const std::map<std::string, Endpoint>& aListed);
   bool IsRelayOrAlone() const;
+  std::string OwnKey() const;
 
   const NodeContext& context_;
   std::mt19937_64 random_;
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -14,12 +14,13 @@
 
 namespace dandelion {
 
-/// What every service is given.
+/// What every service is given. The names of headers depend on where the node runs.
 struct NodeContext
 {
   Loop& loop;
   Registry& registry;
   const NodeSettings& settings;
+  CallVocabulary vocabulary = {};
 };
 
 /// `ServiceName::Metrics`: what the node counts and times.
@@ -97,6 +98,8 @@
   virtual void MeetSeeds(const std::vector<Endpoint>& aSeeds) = 0;
   /// The store has answered what it was asked at this time, so the node is not cut off.
   virtual void OnStoreAnswered(TimePoint aAskedAt) = 0;
+  /// No member has answered for a while.
+  virtual bool IsIsolated(TimePoint aNow) const = 0;
 };
 
 /// `ServiceName::Spreading`: how far versions have come.
@@ -127,6 +130,40 @@
   virtual void StatusOf(const std::string& aId, OnStatus aDone) = 0;
 };
 
+/// `ServiceName::UpstreamState`: the upstream beside this node, as far as the node knows.
+class UpstreamState
+{
+public:
+  virtual ~UpstreamState() = default;
+  /// Calls that it runs at a time; 0 while it must get none.
+  virtual int64_t Slots() const = 0;
+  /// Its incarnation's name; empty where it has none.
+  virtual const std::string& Id() const = 0;
+  virtual void AddListener(std::function<void()> aOnChange) = 0;
+};
+
+/// `ServiceName::Readiness`: what the platform is told about this node.
+class Readiness
+{
+public:
+  virtual ~Readiness() = default;
+  /// Says from now on that the node takes no work.
+  virtual void BeginStop() = 0;
+};
+
+/// `ServiceName::Front`: where callers come in.
+class Front
+{
+public:
+  virtual ~Front() = default;
+  /// Answers tell callers that their connection closes.
+  virtual void BeginClosing() = 0;
+  /// Takes no new connections; requests in progress are answered.
+  virtual void StopListening() = 0;
+  /// Connections with a request in progress.
+  virtual size_t Busy() const = 0;
+};
+
 /// `ServiceName::Admission`: calls to the upstream beside this node.
 class Admission
 {
@@ -149,6 +186,9 @@
   std::vector<HeaderField> headers;
   std::string body;
   InheritedLimits limits;
+  std::string host = {};
+  /// The caller's own name of the call, for logs and for the upstream's answer.
+  std::string id = {};
 };
 
 struct CallerAnswer
@@ -161,6 +201,8 @@
   int64_t status = 0;
   std::vector<HeaderField> headers;
   std::string body;
+  /// On refusals: when the call is likely to be taken.
+  std::optional<Duration> retryAfter = {};
 };
 
 /// `ServiceName::Calls`: calls from callers to upstreams.
--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kStorePollPeriod = seconds(10);
 /// A region that has not heard of the store's region for this long reads the store by itself.
 constexpr Duration kStoreRegionSilence = seconds(10);
+/// Where each zone's relays watch the store, a version comes by push or watch within this time.
+constexpr Duration kPushPatience = milliseconds(250);
 constexpr Duration kQuestionLimit = seconds(2);
 /// A snapshot is written each time the log has grown by this many notes.
 constexpr Version kCompactEvery = 128;
@@ -31,6 +33,8 @@
 SpreadingService::SpreadingService(const NodeContext& aContext, uint64_t aSeed)
   : context_(aContext)
   , random_(aSeed)
+  , catchUp_(aContext.settings.environment == EnvironmentName::Platform ? kPushPatience
+                                                                         : Duration::zero())
 {
 }
 
@@ -73,10 +77,13 @@
   TimePoint now = context_.loop.Now();
   CatchUpNow();
   if (membership_->IsReady()) {
-    ReportVersion(now);
-    ReportZone(now);
-    PollStore(now);
-    MaybeCompact();
+    FollowWhereNeeded(now);
+    if (KeepsProgress()) {
+      ReportVersion(now);
+      ReportZone(now);
+      PollStore(now);
+      MaybeCompact();
+    }
   }
   tick_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
 }
@@ -91,18 +98,31 @@
     report.sends = 0;
     report.nextSend = context_.loop.Now();
   }
-  if (membership_->IsReady()) {
+  if (membership_->IsReady() && KeepsProgress()) {
     ReportVersion(context_.loop.Now());
   }
 }
 
+bool SpreadingService::KeepsProgress() const
+{
+  // The platform's operators see no progress, and its watches are renewed all the time.
+  return context_.settings.environment == EnvironmentName::Standalone;
+}
+
 void SpreadingService::OnMembersChanged()
 {
-  if (!membership_->IsReady()) {
-    return;
+  if (membership_->IsReady()) {
+    FollowWhereNeeded(context_.loop.Now());
   }
+}
+
+void SpreadingService::FollowWhereNeeded(TimePoint aNow)
+{
   const Member& self = membership_->Self();
-  if (WatchesStore(membership_->Table(), self, context_.settings.store.region)) {
+  // Whoever hears of nobody reads the store itself: a version may be there that no peer can show.
+  bool isOnItsOwn = !KeepsProgress() && membership_->IsIsolated(aNow);
+  if (isOnItsOwn ||
+      WatchesStore(membership_->Table(), self, context_.settings.store.region)) {
     log_->Follow();
   } else {
     log_->Unfollow();
@@ -118,14 +138,20 @@
   Version version = releases_->Current()->version;
   auto entries = releases_->EntriesAfter(std::max(pushed_, version - 1));
   pushed_ = version;
-  if (!entries.has_value() || entries->empty()) {
+  if (entries.has_value() && entries->empty()) {
     return;
   }
+  LinkMessage news = SnapshotDelivery{};
+  if (entries.has_value()) {
+    news = EntriesDelivery{ *std::move(entries) };
+  } else {
+    news = SnapshotDelivery{ *releases_->Current(), releases_->CurrentHash() };
+  }
   std::vector<const Member*> targets =
     PushTargets(membership_->Table(), membership_->Self(), context_.settings.store.region);
   for (const Member* target : targets) {
     if (target->version < version) {
-      links_->Send(links_->Open(Reach(*target), Lane::Control), EntriesDelivery{ *entries });
+      links_->Send(links_->Open(Reach(*target), Lane::Control), news);
     }
   }
 }
--- a/src/dandeliond/SpreadingService.h
+++ b/src/dandeliond/SpreadingService.h
@@ -46,6 +46,9 @@
   void OnDatagram(const Endpoint& aFrom, const Datagram& aDatagram);
   void OnVersionInForce();
   void OnMembersChanged();
+  void FollowWhereNeeded(TimePoint aNow);
+  /// Whether this mesh counts where a version is in force.
+  bool KeepsProgress() const;
   void Push();
   void CatchUpNow();
   void ReadStore();
--- /dev/null
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -0,0 +1,141 @@
+#include "dandeliond/StoredConfigurationService.h"
+
+namespace dandelion {
+
+namespace {
+
+/// A store that is away is asked again this often by each node that watches it.
+constexpr Duration kWatchRetry = milliseconds(500);
+
+} // namespace
+
+StoredConfigurationService::StoredConfigurationService(const NodeContext& aContext,
+                                                       std::string aKey,
+                                                       Reader aReader)
+  : context_(aContext)
+  , key_(std::move(aKey))
+  , reader_(std::move(aReader))
+{
+}
+
+absl::Status StoredConfigurationService::Start()
+{
+  store_ = &context_.registry.Find<Store>(ServiceName::Store);
+  releases_ = &context_.registry.Find<Releases>(ServiceName::Releases);
+  return absl::OkStatus();
+}
+
+void StoredConfigurationService::Synchronize(OnDone aDone)
+{
+  ReadRequest request;
+  request.key = key_;
+  store_->Read(request, [this, done = std::move(aDone)](const absl::StatusOr<ReadResult>& aResult) {
+    if (aResult.ok() != isReachable_) {
+      isReachable_ = aResult.ok();
+      Log(LogPart::Store,
+          isReachable_ ? LogLevel::Info : LogLevel::Warning,
+          "The store is {}: {}.",
+          isReachable_ ? "back" : "lost",
+          isReachable_ ? "it answers" : Reason(aResult.status()));
+    }
+    if (!aResult.ok()) {
+      done(aResult.status());
+      return;
+    }
+    revision_ = std::max(revision_, aResult->revision);
+    done(aResult->items.empty() ? absl::OkStatus() : Take(aResult->items.front()));
+  });
+}
+
+absl::Status StoredConfigurationService::Take(const KeyValue& aItem)
+{
+  if (aItem.key != key_) {
+    return absl::OkStatus();
+  }
+  auto configuration = reader_(aItem.value);
+  if (!configuration.ok()) {
+    Log(LogPart::Releases,
+        LogLevel::Error,
+        "The configuration under {} is refused whole: {}.",
+        key_,
+        Reason(configuration.status()));
+    return configuration.status();
+  }
+  return releases_->OfferSnapshot(*configuration, HashOf(*configuration));
+}
+
+void StoredConfigurationService::ReadHead(
+  std::function<void(const absl::StatusOr<Version>&)> aDone)
+{
+  Synchronize([this, done = std::move(aDone)](const absl::Status& aStatus) {
+    if (KindOf(aStatus) == ErrorKind::StoreUnavailable) {
+      done(aStatus);
+    } else {
+      done(releases_->Current()->version);
+    }
+  });
+}
+
+void StoredConfigurationService::Append(const Entry& /* aEntry */,
+                                        std::function<void(AppendOutcome)> aDone)
+{
+  Log(LogPart::Store,
+      LogLevel::Warning,
+      "A release note is not written: this mesh takes whole configurations from {}.",
+      key_);
+  aDone(AppendOutcome::Occupied);
+}
+
+void StoredConfigurationService::Follow()
+{
+  if (!isFollowing_) {
+    isFollowing_ = true;
+    StartWatch();
+  }
+}
+
+void StoredConfigurationService::Unfollow()
+{
+  isFollowing_ = false;
+  retry_.Cancel();
+  if (watch_.has_value()) {
+    store_->CancelWatch(*watch_);
+    watch_.reset();
+  }
+}
+
+void StoredConfigurationService::StartWatch()
+{
+  if (isReading_) {
+    return;
+  }
+  isReading_ = true;
+  Synchronize([this](const absl::Status& aStatus) {
+    isReading_ = false;
+    if (!isFollowing_ || watch_.has_value()) {
+      return;
+    }
+    if (!aStatus.ok() && KindOf(aStatus) == ErrorKind::StoreUnavailable) {
+      RetryWatch();
+      return;
+    }
+    auto onEvents = [this](const std::vector<KeyValue>& aItems) {
+      // Only the newest one matters; those between were never in force here.
+      if (!aItems.empty()) {
+        (void)Take(aItems.back());
+      }
+    };
+    auto onEnd = [this] {
+      watch_.reset();
+      RetryWatch();
+    };
+    watch_ = store_->Watch(key_, revision_, onEvents, onEnd);
+  });
+}
+
+void StoredConfigurationService::RetryWatch()
+{
+  retry_ = context_.loop.After(kWatchRetry, [this] { StartWatch(); });
+}
+
+} // namespace dandelion
--- /dev/null
+++ b/src/dandeliond/StoredConfigurationService.h
@@ -0,0 +1,52 @@
+/// Configurations that operators keep whole in the store, in place of a log of release notes.
+#ifndef DANDELION_DANDELIOND_STORED_CONFIGURATION_SERVICE_H
+#define DANDELION_DANDELIOND_STORED_CONFIGURATION_SERVICE_H
+
+#include "dandeliond/Services.h"
+
+namespace dandelion {
+
+/// The store's word is final: nothing is appended, put back or compacted from here.
+class StoredConfigurationService
+  : public Service
+  , public ReleaseLog
+{
+public:
+  /// Reads a configuration from the bytes that operators wrote.
+  using Reader = std::function<absl::StatusOr<Configuration>(const std::string&)>;
+
+  StoredConfigurationService(const NodeContext& aContext, std::string aKey, Reader aReader);
+
+  absl::Status Start() override;
+  void Stop() override { Unfollow(); }
+
+  void Synchronize(OnDone aDone) override;
+  void ReadHead(std::function<void(const absl::StatusOr<Version>&)> aDone) override;
+  void Append(const Entry& aEntry, std::function<void(AppendOutcome)> aDone) override;
+  void Repair(OnDone aDone) override { aDone(absl::OkStatus()); }
+  void Follow() override;
+  void Unfollow() override;
+  void Compact(OnDone aDone) override { aDone(absl::OkStatus()); }
+
+private:
+  absl::Status Take(const KeyValue& aItem);
+  void StartWatch();
+  void RetryWatch();
+
+  const NodeContext& context_;
+  std::string key_;
+  Reader reader_;
+  Store* store_ = nullptr;
+  Releases* releases_ = nullptr;
+  int64_t revision_ = 0;
+  bool isFollowing_ = false;
+  bool isReading_ = false;
+  /// The store answered the last time it was asked.
+  bool isReachable_ = true;
+  std::optional<Store::WatchId> watch_;
+  Timer retry_;
+};
+
+} // namespace dandelion
+
+#endif
--- /dev/null
+++ b/src/dandeliond/UpstreamStateServices.cpp
@@ -0,0 +1,125 @@
+#include "dandeliond/UpstreamStateServices.h"
+
+namespace dandelion {
+
+namespace {
+
+/// A health check waits for a slot as calls do.
+constexpr Duration kHealthLimit = seconds(1);
+constexpr int kHealthy = 200;
+
+} // namespace
+
+absl::Status ConfiguredUpstreamService::Start()
+{
+  releases_ = &context_.registry.Find<Releases>(ServiceName::Releases);
+  releases_->AddListener([this] { TakeSlots(); });
+  return absl::OkStatus();
+}
+
+void ConfiguredUpstreamService::TakeSlots()
+{
+  const auto& services = releases_->Current()->services;
+  auto found = services.find(context_.settings.service);
+  if (found == services.end() || found->second.spec.slots == slots_) {
+    return;
+  }
+  slots_ = found->second.spec.slots;
+  for (const auto& listener : listeners_) {
+    listener();
+  }
+}
+
+ReportedUpstreamService::ReportedUpstreamService(const NodeContext& aContext,
+                                                 ReportProtocol aProtocol)
+  : context_(aContext)
+  , protocol_(std::move(aProtocol))
+  , tracker_(aContext.settings.service)
+  , server_(
+      aContext.loop,
+      [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); })
+  , client_(aContext.loop)
+{
+}
+
+absl::Status ReportedUpstreamService::Start()
+{
+  releases_ = &context_.registry.Find<Releases>(ServiceName::Releases);
+  releases_->AddListener([this] { AskHealth(); });
+  return server_.Listen(*context_.settings.reports, HttpLimits());
+}
+
+void ReportedUpstreamService::OnRequest(const std::shared_ptr<HttpExchange>& aExchange)
+{
+  auto report = protocol_.read(aExchange->Request());
+  if (!report.ok()) {
+    Log(LogPart::Upstream,
+        LogLevel::Warning,
+        "A report is refused and changes nothing: {}.",
+        Reason(report.status()));
+    HttpResponse refusal;
+    refusal.status = AnswerFor(KindOf(report.status())).httpStatus;
+    refusal.body = Reason(report.status());
+    aExchange->Reply(refusal);
+    return;
+  }
+  ReportVerdict verdict = tracker_.On(*report, context_.loop.Now());
+  if (verdict != ReportVerdict::Unchanged) {
+    Log(LogPart::Upstream,
+        LogLevel::Info,
+        "Report {} of {} (born {}) says {}: {}; {} slots are open.",
+        report->sequence.value_or(-1),
+        report->id,
+        report->bornMs.value_or(-1),
+        NameOf(report->condition),
+        NameOf(verdict),
+        tracker_.Slots());
+  }
+  // The acknowledgement promises that no new call reaches an upstream that leaves, so the gate must
+  // be shut first.
+  if (verdict == ReportVerdict::Applied) {
+    Tell();
+  }
+  aExchange->Reply(protocol_.acknowledge());
+}
+
+void ReportedUpstreamService::Tell()
+{
+  for (const auto& listener : listeners_) {
+    listener();
+  }
+}
+
+/// A fresh node beside a running upstream asks it once, or it would serve nothing until the next
+/// report.
+void ReportedUpstreamService::AskHealth()
+{
+  const auto& services = releases_->Current()->services;
+  auto service = services.find(context_.settings.service);
+  bool canAsk = service != services.end() && !service->second.spec.healthPath.empty();
+  if (hasAsked_ || !canAsk || !tracker_.Id().empty()) {
+    return;
+  }
+  hasAsked_ = true;
+  HttpRequest request;
+  request.target = service->second.spec.healthPath;
+  client_.Send(
+    context_.settings.upstream, request, kHealthLimit, [this](const HttpResult& aResult) {
+      if (aResult.outcome != HttpOutcome::Answered) {
+        return;
+      }
+      HealthAnswer answer;
+      answer.isHealthy = aResult.response.status == kHealthy;
+      answer.id = FindHeader(aResult.response.headers, context_.vocabulary.upstreamId);
+      tracker_.OnHealth(answer);
+      Log(LogPart::Upstream,
+          LogLevel::Info,
+          "The health check answers {} for \"{}\"; {} slots are open.",
+          aResult.response.status,
+          answer.id,
+          tracker_.Slots());
+      Tell();
+    });
+}
+
+} // namespace dandelion
--- a/src/kernel/FieldTraits.h
+++ b/src/kernel/FieldTraits.h
@@ -52,6 +52,14 @@
 {
 };
 
+/// A type that people may also write as one text, as "10.0.0.1:80" for an endpoint. Specialise with
+/// `static std::optional<T> Parse(std::string_view)` and `static constexpr const char* kShape`.
+template<class T>
+struct TextForm
+{
+  static constexpr bool kExists = false;
+};
+
 /// Inclusive bounds of an integer field, in the unit that the field's name gives.
 struct Between
 {
--- a/src/kernel/Log.h
+++ b/src/kernel/Log.h
@@ -38,6 +38,8 @@
   Membership,
   Spreading,
   Links,
+  Upstream,
+  Admission,
   Calls,
   Front,
   Operator,
@@ -51,6 +53,7 @@
     { LogPart::Kernel, "kernel" },       { LogPart::Store, "store" },
     { LogPart::Releases, "releases" },   { LogPart::Membership, "membership" },
     { LogPart::Spreading, "spreading" }, { LogPart::Links, "links" },
+    { LogPart::Upstream, "upstream" },   { LogPart::Admission, "admission" },
     { LogPart::Calls, "calls" },         { LogPart::Front, "front" },
     { LogPart::Operator, "operator" },   { LogPart::Tool, "tool" },
   };
--- a/src/kernel/Registry.h
+++ b/src/kernel/Registry.h
@@ -20,6 +20,7 @@
   Links,
   Datagrams,
   Upstream,
+  UpstreamState,
   Releases,
   ReleaseLog,
   Membership,
@@ -29,6 +30,7 @@
   Admission,
   Calls,
   Front,
+  Readiness,
   Operator,
   Metrics,
 };
@@ -39,11 +41,13 @@
   static constexpr EnumName<ServiceName> kTable[] = {
     { ServiceName::Store, "store" },           { ServiceName::Links, "links" },
     { ServiceName::Datagrams, "datagrams" },   { ServiceName::Upstream, "upstream" },
+    { ServiceName::UpstreamState, "upstream-state" },
     { ServiceName::Releases, "releases" },     { ServiceName::ReleaseLog, "release-log" },
     { ServiceName::Membership, "membership" }, { ServiceName::Seeds, "seeds" },
     { ServiceName::Spreading, "spreading" },   { ServiceName::Submissions, "submissions" },
     { ServiceName::Admission, "admission" },   { ServiceName::Calls, "calls" },
-    { ServiceName::Front, "front" },           { ServiceName::Operator, "operator" },
+    { ServiceName::Front, "front" },           { ServiceName::Readiness, "readiness" },
+    { ServiceName::Operator, "operator" },
     { ServiceName::Metrics, "metrics" },
   };
 };
--- a/src/membership/Member.h
+++ b/src/membership/Member.h
@@ -48,6 +48,17 @@
   return fmt::format("{}:{}", aEndpoint.ip, aEndpoint.port);
 }
 
+/// The endpoint in "10.0.0.1:80", or nothing for another text.
+std::optional<Endpoint> ParseEndpoint(std::string_view aText);
+
+template<>
+struct TextForm<Endpoint>
+{
+  static constexpr bool kExists = true;
+  static constexpr const char* kShape = "\"10.0.0.1:80\"";
+  static std::optional<Endpoint> Parse(std::string_view aText) { return ParseEndpoint(aText); }
+};
+
 struct Member
 {
   /// Name of the slot; a replaced instance in the same slot keeps it.
@@ -64,6 +75,8 @@
   MemberState state = MemberState::Alive;
   /// Highest configuration version that the slot is known to have had in force.
   uint64_t version = 0;
+  /// Calls that the upstream runs at a time, as far as its node knows; 0 while it takes no work.
+  int64_t slots = 1;
 };
 
 template<class Visitor>
@@ -85,6 +98,7 @@
   aVisitor.Field("incarnation", aMember.incarnation);
   aVisitor.Field("state", aMember.state);
   aVisitor.Field("version", aMember.version);
+  aVisitor.Field("slots", aMember.slots);
 }
 
 /// Where a node of `aRegion` reaches the member.
@@ -93,12 +107,18 @@
   return aRegion == aMember.region ? aMember.endpoint : aMember.farEndpoint;
 }
 
-/// May be given new work.
-inline bool TakesWork(const Member& aMember)
+/// The node takes part: it may act as a relay and be asked.
+inline bool IsPresent(const Member& aMember)
 {
   return aMember.state == MemberState::Alive || aMember.state == MemberState::Suspect;
 }
 
+/// The upstream beside the node may be given new work.
+inline bool TakesWork(const Member& aMember)
+{
+  return IsPresent(aMember) && aMember.slots > 0;
+}
+
 } // namespace dandelion
 
 #endif
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -77,6 +77,12 @@
   return nullptr;
 }
 
+size_t MemberTable::CountPresent() const
+{
+  auto isPresent = [](const auto& aRow) { return IsPresent(aRow.second); };
+  return static_cast<size_t>(std::count_if(members_.begin(), members_.end(), isPresent));
+}
+
 std::vector<std::string> MemberTable::Zones() const
 {
   std::set<std::string> zones;
@@ -135,7 +141,7 @@
   uint64_t scope = HashBytes(aScope);
   std::vector<std::pair<uint64_t, const Member*>> ranks;
   for (const auto& [id, member] : members_) {
-    if (TakesWork(member) && aBelongs(member)) {
+    if (IsPresent(member) && aBelongs(member)) {
       ranks.emplace_back(HashBytes(id, scope), &member);
     }
   }
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -31,6 +31,9 @@
   const Member* FindByEndpoint(const Endpoint& aEndpoint) const;
   const std::map<std::string, Member>& All() const { return members_; }
 
+  /// Members that take part.
+  size_t CountPresent() const;
+
   /// Zones with at least one member that is not gone.
   std::vector<std::string> Zones() const;
   /// Regions with at least one member that is not gone.
--- a/src/membership/Prober.cpp
+++ b/src/membership/Prober.cpp
@@ -10,7 +10,10 @@
 constexpr size_t kMostUpdates = 6;
 constexpr int kSendsPerDoubling = 3;
 constexpr size_t kIndirectProbes = 3;
-constexpr size_t kLeaveFanout = 8;
+/// Members of the zone that are told at once of what cannot wait for the next probe.
+constexpr size_t kUrgentFanout = 8;
+/// Without an answer for this long, a probe and a repeat of it have failed.
+constexpr Duration kIsolatedAfter = milliseconds(1800);
 constexpr size_t kRelaysPerZone = 2;
 /// A process that did not run for this long doubts itself before it accuses others.
 constexpr Duration kPauseDoubt = milliseconds(500);
@@ -106,19 +109,57 @@
   table_.Merge(self);
   effects.push_back(MembersChanged{});
   Announce(self);
-  std::vector<const Member*> others = table_.InZone(self.zone);
+  TellZone(effects, aNow);
+  TellOtherZones(effects, aNow);
+  return effects;
+}
+
+void Prober::TellZone(ProberEffects& aEffects, TimePoint aNow)
+{
+  std::vector<const Member*> others = table_.InZone(Self().zone);
   std::shuffle(others.begin(), others.end(), random_);
   size_t told = 0;
   for (const Member* other : others) {
-    if (other->id != selfId_ && told < kLeaveFanout) {
-      SendPing(effects, *other, false, aNow);
+    if (other->id != selfId_ && told < kUrgentFanout) {
+      SendPing(aEffects, *other, false, aNow);
       ++told;
     }
   }
+}
+
+ProberEffects Prober::SetSlots(int64_t aSlots, TimePoint aNow)
+{
+  ProberEffects effects;
+  Member self = Self();
+  if (self.slots == aSlots) {
+    return effects;
+  }
+  self.slots = aSlots;
+  // Records of one incarnation differ in their state only, so this is a new one.
+  ++self.incarnation;
+  table_.Merge(self);
+  Announce(self);
+  effects.push_back(MembersChanged{});
+  TellZone(effects, aNow);
   TellOtherZones(effects, aNow);
   return effects;
 }
 
+ProberEffects Prober::ShowVersion(TimePoint aNow)
+{
+  ProberEffects effects;
+  if (IsZoneRelay()) {
+    TellZone(effects, aNow);
+    TellOtherZones(effects, aNow);
+  }
+  return effects;
+}
+
+bool Prober::IsIsolated(TimePoint aNow) const
+{
+  return aNow - lastAnsweredSentAt_ > kIsolatedAfter;
+}
+
 void Prober::Witness(TimePoint aAskedAt)
 {
   lastAnsweredSentAt_ = std::max(lastAnsweredSentAt_, aAskedAt);
@@ -314,6 +355,7 @@
 void Prober::StartProbes(ProberEffects& aEffects, TimePoint aNow)
 {
   ProbeOwnZone(aEffects, aNow);
+  ProbeGone(aEffects, aNow);
   bool isAloneInZone = table_.InZone(Self().zone).size() <= 1;
   if (IsZoneRelay() || isAloneInZone) {
     ProbeOtherZone(aEffects, aNow);
@@ -344,6 +386,21 @@
   }
 }
 
+/// A process that has started anew may know nobody, so whoever knew its slot looks for it there.
+void Prober::ProbeGone(ProberEffects& aEffects, TimePoint aNow)
+{
+  std::vector<const Member*> gone;
+  for (const auto& [id, member] : table_.All()) {
+    bool isOurs = member.zone == Self().zone || IsZoneRelay();
+    if (member.state == MemberState::Gone && isOurs) {
+      gone.push_back(&member);
+    }
+  }
+  if (!gone.empty()) {
+    SendPing(aEffects, *gone[random_() % gone.size()], true, aNow);
+  }
+}
+
 void Prober::ProbeOtherZone(ProberEffects& aEffects, TimePoint aNow)
 {
   std::vector<std::string> zones = table_.Zones();
--- a/src/membership/Prober.h
+++ b/src/membership/Prober.h
@@ -64,10 +64,16 @@
   ProberEffects Contact(const Endpoint& aSeed, TimePoint aNow);
   /// Announces to many members at once that this node is leaving, or in the end that it is gone.
   ProberEffects Leave(MemberState aState, TimePoint aNow);
+  /// The upstream beside this node runs so many calls at a time from now on; 0 while it takes none.
+  ProberEffects SetSlots(int64_t aSlots, TimePoint aNow);
+  /// Shows the node's new version at once to the zone and to the relays of the other zones.
+  ProberEffects ShowVersion(TimePoint aNow);
   /// The store has answered a request that was sent at this time: the node is not cut off.
   void Witness(TimePoint aAskedAt);
   /// No member has answered lately, so the store should be asked for a sign of life.
   bool WantsWitness(TimePoint aNow) const;
+  /// No member has answered for some probes.
+  bool IsIsolated(TimePoint aNow) const;
   /// Another member has reported its version.
   void OnVersionReported(const std::string& aId, uint64_t aVersion)
   {
@@ -132,6 +138,8 @@
   void AskOthers(ProberEffects& aEffects, uint64_t aSequence, const Probe& aProbe);
   void Suspect(ProberEffects& aEffects, const std::string& aTarget, TimePoint aNow);
   void ExpireMembers(ProberEffects& aEffects, TimePoint aNow);
+  void ProbeGone(ProberEffects& aEffects, TimePoint aNow);
+  void TellZone(ProberEffects& aEffects, TimePoint aNow);
   void TellOtherZones(ProberEffects& aEffects, TimePoint aNow);
   bool IsZoneRelay() const;
   const Endpoint& Reach(const Member& aMember) const
--- /dev/null
+++ b/src/platform/KeyValueStore.cpp
@@ -0,0 +1,359 @@
+#include "platform/KeyValueStore.h"
+
+#include "absl/strings/escaping.h"
+
+#include <algorithm>
+
+namespace dandelion::platform {
+
+namespace {
+
+/// A watch is asked anew this often, so that a connection that went silent hides nothing for long.
+constexpr Duration kWatchTime = seconds(3);
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConditionFailed = 412;
+constexpr size_t kMostKeysPerChange = 32;
+
+/// A key as it stands in a query.
+std::string QueryText(const std::string& aText)
+{
+  std::string escaped;
+  for (char character : aText) {
+    bool isPlain = absl::ascii_isalnum(static_cast<unsigned char>(character)) ||
+                   std::string_view("-_.~/").find(character) != std::string_view::npos;
+    escaped += isPlain ? std::string(1, character)
+                       : fmt::format("%{:02X}", static_cast<unsigned char>(character));
+  }
+  return escaped;
+}
+
+/// An item of the store. `rev` is the store's revision that last changed it.
+std::optional<KeyValue> ReadItem(const Json& aItem)
+{
+  bool isWhole = aItem.is_object() && aItem.contains("key") && aItem["key"].is_string() &&
+                 aItem.contains("value") && aItem["value"].is_string();
+  if (!isWhole) {
+    return std::nullopt;
+  }
+  KeyValue item;
+  item.key = aItem["key"].get<std::string>();
+  if (!absl::Base64Unescape(aItem["value"].get_ref<const std::string&>(), &item.value)) {
+    return std::nullopt;
+  }
+  return item;
+}
+
+std::vector<KeyValue> ReadItems(const Json& aBody, const char* aName)
+{
+  std::vector<KeyValue> items;
+  if (!aBody.is_object() || !aBody.contains(aName) || !aBody[aName].is_array()) {
+    return items;
+  }
+  for (const Json& entry : aBody[aName]) {
+    std::optional<KeyValue> item = ReadItem(entry);
+    if (item.has_value()) {
+      items.push_back(*std::move(item));
+    }
+  }
+  return items;
+}
+
+int64_t ReadRevision(const Json& aBody)
+{
+  bool isThere =
+    aBody.is_object() && aBody.contains("at-rev") && aBody["at-rev"].is_number_integer();
+  return isThere ? aBody["at-rev"].get<int64_t>() : 0;
+}
+
+absl::Status Unavailable(int aStatus)
+{
+  return MakeError(ErrorKind::StoreUnavailable,
+                   fmt::format("the store answered {}; it is asked again", aStatus));
+}
+
+Json PutRow(const std::string& aKey, const std::string& aValue, int64_t aLease)
+{
+  Json row = { { "key", aKey }, { "value", absl::Base64Escape(aValue) } };
+  if (aLease != 0) {
+    row["lease"] = aLease;
+  }
+  return row;
+}
+
+Json MakeChange(const Json& aConditions, const Json& aPuts, const Json& aRemovals)
+{
+  Json body = Json::object();
+  body["precondition"] = aConditions;
+  body["puts"] = aPuts;
+  body["remove"] = aRemovals;
+  return body;
+}
+
+} // namespace
+
+KeyValueStore::KeyValueStore(Loop& aLoop, Endpoint aServer, Duration aTimeLimit)
+  : client_(aLoop)
+  , server_(std::move(aServer))
+  , timeLimit_(aTimeLimit)
+{
+}
+
+HttpClient::RequestId KeyValueStore::Call(const std::string& aMethod,
+                                          const std::string& aTarget,
+                                          const std::string& aBody,
+                                          Duration aTimeLimit,
+                                          OnReply aDone)
+{
+  ++calls_;
+  HttpRequest request;
+  request.method = aMethod;
+  request.target = aTarget;
+  request.body = aBody;
+  if (!aBody.empty()) {
+    request.headers.emplace_back("Content-Type", "application/json");
+  }
+  auto onResult = [done = std::move(aDone)](const HttpResult& aResult) {
+    if (aResult.outcome != HttpOutcome::Answered) {
+      done(MakeError(ErrorKind::StoreUnavailable, "the store does not answer; it is asked again"));
+      return;
+    }
+    Reply reply;
+    reply.status = aResult.response.status;
+    reply.body = Json::parse(aResult.response.body, nullptr, /*allow_exceptions=*/false);
+    done(reply);
+  };
+  return client_.Send(server_, request, aTimeLimit, onResult);
+}
+
+void KeyValueStore::Read(const ReadRequest& aRequest, OnRead aDone)
+{
+  if (aRequest.end.has_value()) {
+    ReadPage(aRequest, "", ReadResult(), std::move(aDone));
+  } else {
+    ReadKey(aRequest, std::move(aDone));
+  }
+}
+
+void KeyValueStore::ReadKey(const ReadRequest& aRequest, OnRead aDone)
+{
+  auto onReply = [done = std::move(aDone)](const absl::StatusOr<Reply>& aReply) {
+    if (!aReply.ok()) {
+      done(aReply.status());
+      return;
+    }
+    if (aReply->status != kOk && aReply->status != kNotFound) {
+      done(Unavailable(aReply->status));
+      return;
+    }
+    ReadResult result;
+    result.revision = ReadRevision(aReply->body);
+    std::optional<KeyValue> item = ReadItem(aReply->body);
+    if (aReply->status == kOk && !item.has_value()) {
+      done(MakeError(ErrorKind::BrokenMessage, "the store's answer holds no item"));
+      return;
+    }
+    if (item.has_value()) {
+      result.items.push_back(*std::move(item));
+    }
+    done(result);
+  };
+  Call("GET", "/v1/kv-key?key=" + QueryText(aRequest.key), "", timeLimit_, onReply);
+}
+
+/// The product reads whole prefixes only, so a page ends where its items leave the prefix.
+void KeyValueStore::ReadPage(const ReadRequest& aRequest,
+                             const std::string& aAfter,
+                             ReadResult aSoFar,
+                             OnRead aDone)
+{
+  std::string target = "/v1/kv-range?path-prefix=" + QueryText(aRequest.key);
+  if (!aAfter.empty()) {
+    target += "&after=" + QueryText(aAfter);
+  }
+  auto onReply = [this, aRequest, soFar = std::move(aSoFar), done = std::move(aDone)](
+                   const absl::StatusOr<Reply>& aReply) {
+    if (!aReply.ok() || aReply->status != kOk) {
+      done(aReply.ok() ? Unavailable(aReply->status) : aReply.status());
+      return;
+    }
+    ReadResult result = soFar;
+    for (KeyValue& item : ReadItems(aReply->body, "items")) {
+      result.items.push_back(std::move(item));
+    }
+    // Pages are no snapshot: a watch starts behind the first of them.
+    result.revision = result.revision == 0 ? ReadRevision(aReply->body) : result.revision;
+    bool hasMore = aReply->body.value("has-more", false) && !result.items.empty();
+    if (hasMore) {
+      std::string last = result.items.back().key;
+      ReadPage(aRequest, last, std::move(result), done);
+    } else {
+      done(result);
+    }
+  };
+  Call("GET", target, "", timeLimit_, onReply);
+}
+
+void KeyValueStore::Change(const Json& aBody, OnReply aDone)
+{
+  Call("POST", "/v1/kv-txn", aBody.dump(), timeLimit_, std::move(aDone));
+}
+
+void KeyValueStore::Create(const CreateRequest& aRequest, OnCreated aDone)
+{
+  // Revision 0 demands that the key does not exist.
+  Json absent = { { "key", aRequest.key }, { "rev", 0 } };
+  Json body = MakeChange(Json::array({ absent }),
+                         Json::array({ PutRow(aRequest.key, aRequest.value, 0) }),
+                         Json::array());
+  auto onReply = [done = std::move(aDone)](const absl::StatusOr<Reply>& aReply) {
+    if (aReply.ok() && aReply->status == kOk) {
+      done(AppendOutcome::Written);
+    } else if (aReply.ok() && aReply->status == kConditionFailed) {
+      done(AppendOutcome::Occupied);
+    } else {
+      done(AppendOutcome::Unknown);
+    }
+  };
+  Change(body, onReply);
+}
+
+void KeyValueStore::Put(const std::string& aKey,
+                        const std::string& aValue,
+                        std::optional<Duration> aTimeToLive,
+                        OnDone aDone)
+{
+  if (!aTimeToLive.has_value()) {
+    PutUnder(aKey, aValue, 0, std::move(aDone));
+    return;
+  }
+  Json body = { { "ttl_time", ToMilliseconds(*aTimeToLive) } };
+  auto onLease = [this, aKey, aValue, done = std::move(aDone)](
+                   const absl::StatusOr<Reply>& aReply) {
+    bool isGranted = aReply.ok() && aReply->status == kOk && aReply->body.is_object() &&
+                     aReply->body.contains("lease") &&
+                     aReply->body["lease"].is_number_integer();
+    if (!isGranted) {
+      done(aReply.ok() ? Unavailable(aReply->status) : aReply.status());
+      return;
+    }
+    PutUnder(aKey, aValue, aReply->body["lease"].get<int64_t>(), done);
+  };
+  Call("POST", "/v1/kv-lease", body.dump(), timeLimit_, onLease);
+}
+
+void KeyValueStore::PutUnder(const std::string& aKey,
+                             const std::string& aValue,
+                             int64_t aLease,
+                             OnDone aDone)
+{
+  Json body =
+    MakeChange(Json::array(), Json::array({ PutRow(aKey, aValue, aLease) }), Json::array());
+  Change(body, [done = std::move(aDone)](const absl::StatusOr<Reply>& aReply) {
+    if (!aReply.ok()) {
+      done(aReply.status());
+    } else {
+      done(aReply->status == kOk ? absl::OkStatus() : Unavailable(aReply->status));
+    }
+  });
+}
+
+void KeyValueStore::DeleteRange(const std::string& aFirst, const std::string& aEnd, OnDone aDone)
+{
+  ReadRequest request;
+  request.key = aFirst;
+  request.end = aEnd;
+  auto onRead = [this, aFirst, aEnd, done = std::move(aDone)](
+                  const absl::StatusOr<ReadResult>& aResult) {
+    if (!aResult.ok()) {
+      done(aResult.status());
+      return;
+    }
+    Json keys = Json::array();
+    for (const KeyValue& item : aResult->items) {
+      if (item.key >= aFirst && item.key < aEnd && keys.size() < kMostKeysPerChange) {
+        keys.push_back(item.key);
+      }
+    }
+    if (keys.empty()) {
+      done(absl::OkStatus());
+      return;
+    }
+    Json body = MakeChange(Json::array(), Json::array(), keys);
+    Change(body, [this, aFirst, aEnd, done](const absl::StatusOr<Reply>& aReply) {
+      if (aReply.ok() && aReply->status == kOk) {
+        // Until nothing is left: a change takes a bounded number of keys.
+        DeleteRange(aFirst, aEnd, done);
+      } else {
+        done(aReply.ok() ? Unavailable(aReply->status) : aReply.status());
+      }
+    });
+  };
+  Read(request, onRead);
+}
+
+Store::WatchId KeyValueStore::Watch(const std::string& aPrefix,
+                                    int64_t aAfterRevision,
+                                    OnEvents aOnEvents,
+                                    std::function<void()> aOnEnd)
+{
+  WatchId id = nextWatch_++;
+  watches_[id] =
+    WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0 };
+  WatchOn(id);
+  return id;
+}
+
+void KeyValueStore::WatchOn(WatchId aId)
+{
+  WatchState& watch = watches_.at(aId);
+  std::string target = fmt::format("/v1/kv-watch?path-prefix={}&after={}&wait-ms={}",
+                                   QueryText(watch.prefix),
+                                   watch.revision,
+                                   ToMilliseconds(kWatchTime));
+  watch.request = Call("GET",
+                       target,
+                       "",
+                       kWatchTime + timeLimit_,
+                       [this, aId](const absl::StatusOr<Reply>& aReply) {
+                         OnWatchReply(aId, aReply);
+                       });
+}
+
+void KeyValueStore::OnWatchReply(WatchId aId, const absl::StatusOr<Reply>& aReply)
+{
+  auto found = watches_.find(aId);
+  if (found == watches_.end()) {
+    return;
+  }
+  int64_t revision = aReply.ok() ? ReadRevision(aReply->body) : 0;
+  bool goesOn = aReply.ok() && aReply->status == kOk && revision > 0;
+  if (!goesOn) {
+    // Lost, refused, or the history is no longer there: the reader starts anew.
+    auto onEnd = std::move(found->second.onEnd);
+    watches_.erase(found);
+    onEnd();
+    return;
+  }
+  found->second.revision = std::max(found->second.revision, revision);
+  std::vector<KeyValue> items = ReadItems(aReply->body, "events");
+  if (!items.empty()) {
+    // The callback may cancel the watch.
+    OnEvents onEvents = found->second.onEvents;
+    onEvents(items);
+  }
+  if (watches_.count(aId) > 0) {
+    WatchOn(aId);
+  }
+}
+
+void KeyValueStore::CancelWatch(WatchId aId)
+{
+  auto found = watches_.find(aId);
+  if (found != watches_.end()) {
+    client_.Cancel(found->second.request);
+    watches_.erase(found);
+  }
+}
+
+} // namespace dandelion::platform
--- /dev/null
+++ b/src/platform/KeyValueStore.h
@@ -0,0 +1,72 @@
+/// A store that speaks the platform's key-value protocol, JSON over HTTP.
+#ifndef DANDELION_PLATFORM_KEY_VALUE_STORE_H
+#define DANDELION_PLATFORM_KEY_VALUE_STORE_H
+
+#include "codec/Codec.h"
+#include "wire/Wire.h"
+
+namespace dandelion::platform {
+
+class KeyValueStore
+  : public Service
+  , public Store
+{
+public:
+  KeyValueStore(Loop& aLoop, Endpoint aServer, Duration aTimeLimit);
+
+  void Read(const ReadRequest& aRequest, OnRead aDone) override;
+  void Create(const CreateRequest& aRequest, OnCreated aDone) override;
+  void Put(const std::string& aKey,
+           const std::string& aValue,
+           std::optional<Duration> aTimeToLive,
+           OnDone aDone) override;
+  void DeleteRange(const std::string& aFirst, const std::string& aEnd, OnDone aDone) override;
+  WatchId Watch(const std::string& aPrefix,
+                int64_t aAfterRevision,
+                OnEvents aOnEvents,
+                std::function<void()> aOnEnd) override;
+  void CancelWatch(WatchId aId) override;
+  uint64_t CallCount() const override { return calls_; }
+
+private:
+  struct Reply
+  {
+    int status = 0;
+    Json body;
+  };
+  using OnReply = std::function<void(const absl::StatusOr<Reply>&)>;
+  struct WatchState
+  {
+    std::string prefix;
+    int64_t revision = 0;
+    OnEvents onEvents;
+    std::function<void()> onEnd;
+    HttpClient::RequestId request = 0;
+  };
+
+  HttpClient::RequestId Call(const std::string& aMethod,
+                             const std::string& aTarget,
+                             const std::string& aBody,
+                             Duration aTimeLimit,
+                             OnReply aDone);
+  void ReadKey(const ReadRequest& aRequest, OnRead aDone);
+  void ReadPage(const ReadRequest& aRequest,
+                const std::string& aAfter,
+                ReadResult aSoFar,
+                OnRead aDone);
+  void Change(const Json& aBody, OnReply aDone);
+  void PutUnder(const std::string& aKey, const std::string& aValue, int64_t aLease, OnDone aDone);
+  void WatchOn(WatchId aId);
+  void OnWatchReply(WatchId aId, const absl::StatusOr<Reply>& aReply);
+
+  HttpClient client_;
+  Endpoint server_;
+  Duration timeLimit_;
+  uint64_t calls_ = 0;
+  WatchId nextWatch_ = 1;
+  std::map<WatchId, WatchState> watches_;
+};
+
+} // namespace dandelion::platform
+
+#endif
--- /dev/null
+++ b/src/platform/Platform.h
@@ -0,0 +1,11 @@
+/// Public header of the platform library: it translates between the platform's protocols and the
+/// product's types, and decides nothing.
+#ifndef DANDELION_PLATFORM_PLATFORM_H
+#define DANDELION_PLATFORM_PLATFORM_H
+
+#include "platform/KeyValueStore.h"
+#include "platform/OperatorConfiguration.h"
+#include "platform/UpstreamReports.h"
+#include "platform/Vocabulary.h"
+
+#endif
--- /dev/null
+++ b/src/platform/UpstreamReports.cpp
@@ -0,0 +1,101 @@
+#include "platform/UpstreamReports.h"
+
+#include "platform/Vocabulary.h"
+
+#include "absl/strings/match.h"
+
+namespace dandelion::platform {
+
+namespace {
+
+/// Longest report that is read; a whole one has some hundred bytes.
+constexpr size_t kMostReportBytes = 16 * 1024;
+constexpr int64_t kMostUpstreamSlots = 100000;
+
+struct ReportFields
+{
+  std::string service;
+  UpstreamCondition state = UpstreamCondition::Ready;
+  /// Calls that the upstream runs at a time.
+  int64_t capacity = 0;
+  int64_t sequence = 0;
+  std::optional<int64_t> born;
+};
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, ReportFields& aFields)
+{
+  aVisitor.Field("service", aFields.service, TextUpTo{ kLongestName });
+  aVisitor.Field("state", aFields.state);
+  aVisitor.Field("capacity", aFields.capacity, Between{ 1, kMostUpstreamSlots });
+  aVisitor.Field("sequence", aFields.sequence, Between{ 0, INT64_MAX });
+  aVisitor.OptionalField("born", aFields.born);
+}
+
+/// A farewell may have no body.
+struct FarewellFields
+{
+  std::optional<int64_t> born;
+};
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, FarewellFields& aFields)
+{
+  aVisitor.OptionalField("born", aFields.born);
+}
+
+template<class Fields>
+absl::StatusOr<Fields> ReadBody(const std::string& aBody)
+{
+  auto json = ParseJson(aBody, kMostReportBytes);
+  if (!json.ok()) {
+    return MakeError(ErrorKind::BrokenMessage, Reason(json.status()));
+  }
+  return FromJson<Fields>(*json, ErrorKind::BrokenMessage, UnknownKeys::Ignored);
+}
+
+} // namespace
+
+absl::StatusOr<UpstreamReport> ReadReport(const HttpRequest& aRequest)
+{
+  UpstreamReport report;
+  std::string path = aRequest.target.substr(0, aRequest.target.find('?'));
+  bool isReport = absl::StartsWith(path, kReportPrefix);
+  report.id = isReport ? path.substr(sizeof(kReportPrefix) - 1) : "";
+  bool namesOne = !report.id.empty() && report.id.find('/') == std::string::npos;
+  if (!namesOne || (aRequest.method != "PUT" && aRequest.method != "DELETE")) {
+    return MakeError(ErrorKind::UnknownObject,
+                     fmt::format("{} {} takes no reports", aRequest.method, path));
+  }
+  if (aRequest.method == "DELETE") {
+    report.condition = UpstreamCondition::Gone;
+    if (!aRequest.body.empty()) {
+      auto fields = ReadBody<FarewellFields>(aRequest.body);
+      if (!fields.ok()) {
+        return fields.status();
+      }
+      report.bornMs = fields->born;
+    }
+    return report;
+  }
+  auto fields = ReadBody<ReportFields>(aRequest.body);
+  if (!fields.ok()) {
+    return fields.status();
+  }
+  if (fields->state == UpstreamCondition::Gone) {
+    return MakeError(ErrorKind::BrokenMessage, "state must be one of: ready, draining");
+  }
+  report.service = fields->service;
+  report.condition = fields->state;
+  report.slots = fields->capacity;
+  report.sequence = fields->sequence;
+  report.bornMs = fields->born;
+  return report;
+}
+
+HttpResponse AcknowledgeReport()
+{
+  return HttpResponse{ 200, { { "Content-Type", "application/json" } }, "{}" };
+}
+
+} // namespace dandelion::platform
--- a/src/release/Configuration.cpp
+++ b/src/release/Configuration.cpp
@@ -28,12 +28,14 @@
 {
   for (const auto& [name, route] : aConfiguration.routes) {
     const RouteSpec& spec = route.spec;
-    if (aConfiguration.services.count(spec.service) == 0) {
-      aFaults.Add(ErrorKind::DanglingReference,
-                  "route \"{}\" uses service \"{}\", which does not exist; add the service or "
-                  "withdraw the route",
-                  name,
-                  spec.service);
+    for (const std::string& service : ServicesOf(spec)) {
+      if (aConfiguration.services.count(service) == 0) {
+        aFaults.Add(ErrorKind::DanglingReference,
+                    "route \"{}\" uses service \"{}\", which does not exist; add the service or "
+                    "withdraw the route",
+                    name,
+                    service);
+      }
     }
     if (aConfiguration.policies.count(spec.policy) == 0) {
       aFaults.Add(ErrorKind::DanglingReference,
@@ -47,9 +49,10 @@
 
 void CheckPrefixes(Faults& aFaults, const Configuration& aConfiguration)
 {
-  std::map<std::string_view, std::string_view> routeByPrefix;
+  std::map<std::pair<std::string_view, std::string_view>, std::string_view> routeByPrefix;
   for (const auto& [name, route] : aConfiguration.routes) {
-    auto [other, isNew] = routeByPrefix.emplace(route.spec.pathPrefix, name);
+    std::pair<std::string_view, std::string_view> key(route.spec.host, route.spec.pathPrefix);
+    auto [other, isNew] = routeByPrefix.emplace(key, name);
     if (!isNew) {
       aFaults.Add(ErrorKind::AlreadyExists,
                   "routes \"{}\" and \"{}\" both match path_prefix \"{}\"; change one of them",
@@ -69,6 +72,18 @@
   return found == aConfiguration.notes.end() ? nullptr : &*found;
 }
 
+std::vector<std::string> ServicesOf(const RouteSpec& aRoute)
+{
+  std::vector<std::string> services;
+  for (const WeightedService& part : aRoute.split) {
+    services.push_back(part.service);
+  }
+  if (services.empty()) {
+    services.push_back(aRoute.service);
+  }
+  return services;
+}
+
 absl::Status CheckClosed(const Configuration& aConfiguration)
 {
   Faults faults;
--- a/src/release/Configuration.h
+++ b/src/release/Configuration.h
@@ -32,6 +32,15 @@
   std::string contentHash;
 };
 
+/// What callers may send, and how long they may take over it.
+struct CallerLimits
+{
+  int64_t mostHeaderBytes = 32 * 1024;
+  int64_t mostBodyBytes = 8 * 1024 * 1024;
+  int64_t headTimeMs = 30000;
+  int64_t idleTimeMs = 120000;
+};
+
 struct Configuration
 {
   Version version = 0;
@@ -42,6 +51,7 @@
   std::map<std::string, Version> withdrawn;
   /// The newest accepted notes in order of their versions.
   std::vector<AcceptedNote> notes;
+  CallerLimits limits;
 };
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
@@ -61,6 +71,15 @@
   aVisitor.Field("content_hash", aNote.contentHash);
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, CallerLimits& aLimits)
+{
+  aVisitor.Field("most_header_bytes", aLimits.mostHeaderBytes);
+  aVisitor.Field("most_body_bytes", aLimits.mostBodyBytes);
+  aVisitor.Field("head_time_ms", aLimits.headTimeMs);
+  aVisitor.Field("idle_time_ms", aLimits.idleTimeMs);
+}
+
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, Configuration& aConfiguration)
 {
@@ -70,11 +89,15 @@
   aVisitor.Field("routes", aConfiguration.routes);
   aVisitor.Field("withdrawn", aConfiguration.withdrawn);
   aVisitor.Field("notes", aConfiguration.notes);
+  aVisitor.Field("limits", aConfiguration.limits);
 }
 
 /// The accepted note with this id, or null where the configuration does not remember one.
 const AcceptedNote* FindNote(const Configuration& aConfiguration, const std::string& aId);
 
+/// The services to which a route may lead a call.
+std::vector<std::string> ServicesOf(const RouteSpec& aRoute);
+
 /// Checks that every route has its service and policy, that no two routes match the same path,
 /// and the limits. An error lists every fault with the object and the remedy.
 absl::Status CheckClosed(const Configuration& aConfiguration);
--- a/src/release/Objects.h
+++ b/src/release/Objects.h
@@ -56,6 +56,8 @@
 constexpr int64_t kMostSlots = 4096;
 constexpr int64_t kLongestTimeoutMs = 3600 * 1000;
 constexpr int64_t kMostAttempts = 5;
+constexpr int64_t kLowestPriority = 100;
+constexpr int64_t kMostWeight = 1000000;
 
 /// A set of upstreams that answer the same calls.
 struct ServiceSpec
@@ -66,6 +68,8 @@
   int64_t slots = 4;
   /// Time over which a new upstream is given its full share.
   int64_t coldStartMs = 0;
+  /// Path of an upstream's health check; empty where it has none.
+  std::string healthPath = {};
 };
 
 /// How calls are carried.
@@ -81,6 +85,37 @@
   bool crossRegion = false;
   /// Calls of every method may be sent again after an unknown outcome.
   bool idempotent = false;
+  /// Calls of no method may run twice; goes before `idempotent`.
+  bool atMostOnce = false;
+  /// Time within which an answer is worth most to its caller; 0 where only the timeout counts.
+  int64_t targetMs = 0;
+  /// Rank among the calls that wait for a slot; 0 is the highest.
+  int64_t priority = 1;
+};
+
+/// How a route's prefix is compared with a path.
+enum class PathMatching
+{
+  /// "/a" and "/a/" both match "/a" and "/a/b".
+  BySegments,
+  /// The path begins with the prefix, byte for byte.
+  Literal,
+};
+
+template<>
+struct EnumNames<PathMatching>
+{
+  static constexpr EnumName<PathMatching> kTable[] = {
+    { PathMatching::BySegments, "by-segments" },
+    { PathMatching::Literal, "literal" },
+  };
+};
+
+/// One part of a route that spreads its calls over several services.
+struct WeightedService
+{
+  std::string service;
+  int64_t weight = 1;
 };
 
 /// Which calls go to which service, under which policy. The longest matching prefix wins.
@@ -89,8 +124,14 @@
   static constexpr ObjectKind kKind = ObjectKind::Route;
   std::string name;
   std::string pathPrefix;
+  /// Where the calls go; the first service of the split where there is one.
   std::string service;
   std::string policy;
+  /// Host of the calls, in lower case and without a port; empty for every host.
+  std::string host = {};
+  PathMatching matching = PathMatching::BySegments;
+  /// Calls are spread in proportion to the weights. Empty: all go to `service`.
+  std::vector<WeightedService> split = {};
 };
 
 template<class Visitor>
@@ -99,6 +140,7 @@
   aVisitor.Field("name", aService.name, TextUpTo{ kLongestName });
   aVisitor.OptionalField("slots", aService.slots, Between{ 1, kMostSlots });
   aVisitor.OptionalField("cold_start_ms", aService.coldStartMs, Between{ 0, kLongestTimeoutMs });
+  aVisitor.OptionalField("health_path", aService.healthPath);
 }
 
 template<class Visitor>
@@ -110,6 +152,16 @@
   aVisitor.OptionalField("attempts", aPolicy.attempts, Between{ 1, kMostAttempts });
   aVisitor.OptionalField("cross_region", aPolicy.crossRegion);
   aVisitor.OptionalField("idempotent", aPolicy.idempotent);
+  aVisitor.OptionalField("at_most_once", aPolicy.atMostOnce);
+  aVisitor.OptionalField("target_ms", aPolicy.targetMs, Between{ 0, kLongestTimeoutMs });
+  aVisitor.OptionalField("priority", aPolicy.priority, Between{ 0, kLowestPriority });
+}
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, WeightedService& aPart)
+{
+  aVisitor.Field("service", aPart.service, TextUpTo{ kLongestName });
+  aVisitor.Field("weight", aPart.weight, Between{ 0, kMostWeight });
 }
 
 template<class Visitor>
@@ -119,6 +171,9 @@
   aVisitor.Field("path_prefix", aRoute.pathPrefix, TextUpTo{ kLongestPath });
   aVisitor.Field("service", aRoute.service, TextUpTo{ kLongestName });
   aVisitor.Field("policy", aRoute.policy, TextUpTo{ kLongestName });
+  aVisitor.OptionalField("host", aRoute.host);
+  aVisitor.OptionalField("matching", aRoute.matching);
+  aVisitor.OptionalField("split", aRoute.split);
 }
 
 } // namespace dandelion
--- a/src/routing/Attempts.cpp
+++ b/src/routing/Attempts.cpp
@@ -4,20 +4,61 @@
 
 namespace dandelion {
 
+namespace {
+
+/// Part of the shared limits that is spent. The rest covers nodes that do not know of each other
+/// yet, and processes that start anew with a full share.
+constexpr double kSafeShare = 0.7;
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryLimits aLimits)
+  : limits_(aLimits)
+  , saved_(aLimits.slack)
+{
+}
+
 void RetryBudget::OnCall()
 {
-  saved_ = std::min(kMostSaved, saved_ + kEarnedPerCall);
+  saved_ = std::min(limits_.slack, saved_ + limits_.ratio);
 }
 
 bool RetryBudget::Spend()
 {
-  if (saved_ < kRepeatCost) {
+  if (saved_ < 1) {
     return false;
   }
-  saved_ -= kRepeatCost;
+  saved_ -= 1;
   return true;
 }
 
+void RetryBudget::SetLimits(RetryLimits aLimits)
+{
+  limits_ = aLimits;
+  saved_ = std::min(saved_, limits_.slack);
+}
+
+RetryBudgets::RetryBudgets(RetryLimits aOfAllNodes)
+  : ofAllNodes_(aOfAllNodes)
+{
+  SetNodes(1);
+}
+
+void RetryBudgets::SetNodes(size_t aNodes)
+{
+  share_.ratio = ofAllNodes_.ratio * kSafeShare;
+  double slack = ofAllNodes_.slack * kSafeShare / static_cast<double>(std::max<size_t>(1, aNodes));
+  share_.slack = std::max(1.0, slack);
+  for (auto& [service, budget] : byService_) {
+    budget.SetLimits(share_);
+  }
+}
+
+RetryBudget& RetryBudgets::For(const std::string& aService)
+{
+  return byService_.emplace(aService, RetryBudget(share_)).first->second;
+}
+
 Attempts::Attempts(bool aIsIdempotent, int64_t aMost, TimePoint aDeadline)
   : isIdempotent_(aIsIdempotent)
   , left_(aMost)
@@ -27,21 +68,33 @@
 
 NextStep Attempts::OnEnded(const AttemptEnd& aEnd, RetryBudget& aBudget, TimePoint aNow)
 {
-  --left_;
+  left_ -= aEnd.hasReachedUpstream ? 1 : 0;
+  refusals_ += aEnd.hasReachedUpstream ? 0 : 1;
+  --asksLeft_;
   isRetried_ = isRetried_ || aEnd.isRetried;
   if (aEnd.outcome == CallOutcome::Ran) {
     combined_ = CallOutcome::Ran;
-    return NextStep::Answer;
+    bool mayRepeat = aEnd.hasFailed && isIdempotent_ && !aEnd.isRetried && left_ > 0 &&
+                     aNow < deadline_ && aBudget.Spend();
+    isRetried_ = isRetried_ || mayRepeat;
+    return mayRepeat ? NextStep::TryAnother : NextStep::Answer;
   }
-  if (aEnd.outcome == CallOutcome::Unknown) {
+  bool hasRun = combined_ == CallOutcome::Ran;
+  if (aEnd.outcome == CallOutcome::Unknown && !hasRun) {
     // Once an attempt may have run, no later refusal makes the call "not run" again.
     combined_ = CallOutcome::Unknown;
   }
   bool isSafe = isIdempotent_ || combined_ == CallOutcome::NotRun;
-  bool mayRepeat = isSafe && !aEnd.isRetried && left_ > 0 && aNow < deadline_ && aBudget.Spend();
+  bool mayRepeat = isSafe && !aEnd.isRetried && left_ > 0 && aNow < deadline_;
   if (!mayRepeat) {
     return NextStep::Answer;
   }
+  if (!aEnd.hasReachedUpstream) {
+    return asksLeft_ > 0 ? NextStep::TryAnother : NextStep::Answer;
+  }
+  if (!aBudget.Spend()) {
+    return NextStep::Answer;
+  }
   isRetried_ = true;
   return NextStep::TryAnother;
 }
--- a/src/routing/CallChain.h
+++ b/src/routing/CallChain.h
@@ -23,7 +23,7 @@
 {
   TrafficClass trafficClass = TrafficClass::Interactive;
   TimePoint deadline;
-  int64_t attempts = 1;
+  int64_t attempts = 0;
 };
 
 CallLimits LimitsFor(const PolicySpec& aPolicy, const InheritedLimits& aInherited, TimePoint aNow);
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -1,5 +1,7 @@
 #include "routing/RouteTable.h"
 
+#include "absl/strings/ascii.h"
+
 #include <algorithm>
 #include <array>
 
@@ -13,6 +15,11 @@
                                                      : aPrefix;
 }
 
+absl::string_view ToAbsl(std::string_view aText)
+{
+  return absl::string_view(aText.data(), aText.size());
+}
+
 bool EndsAtSegment(std::string_view aPath, size_t aLength)
 {
   return aLength == aPath.size() || aPath[aLength] == '/' || aLength == 1;
@@ -24,30 +31,55 @@
   : configuration_(std::move(aConfiguration))
 {
   for (const auto& [name, held] : configuration_->routes) {
-    std::string_view prefix = WithoutSlashAtEnd(held.spec.pathPrefix);
-    byPrefix_[prefix] = &held.spec;
-    lengths_.insert(prefix.size());
+    const RouteSpec& route = held.spec;
+    std::string_view prefix = route.pathPrefix;
+    if (route.matching == PathMatching::BySegments) {
+      prefix = WithoutSlashAtEnd(prefix);
+    }
+    HostRoutes& routes = byHost_[route.host];
+    routes.byPrefix[prefix] = &route;
+    routes.lengths.insert(prefix.size());
   }
 }
 
-std::optional<ResolvedRoute> RouteTable::Match(std::string_view aTarget) const
+std::optional<ResolvedRoute> RouteTable::Match(std::string_view aTarget,
+                                               std::string_view aHost) const
 {
   std::string_view path = aTarget.substr(0, aTarget.find_first_of("?#"));
-  for (size_t length : lengths_) {
-    if (length > path.size() || !EndsAtSegment(path, length)) {
+  std::string host = absl::AsciiStrToLower(ToAbsl(aHost.substr(0, aHost.find(':'))));
+  const RouteSpec* route = host.empty() ? nullptr : MatchIn(host, path);
+  if (route == nullptr) {
+    route = MatchIn("", path);
+  }
+  if (route == nullptr) {
+    return std::nullopt;
+  }
+  // `CheckClosed` has made sure that both exist in this very configuration.
+  return ResolvedRoute{ route,
+                        &configuration_->services.at(route->service).spec,
+                        &configuration_->policies.at(route->policy).spec };
+}
+
+const RouteSpec* RouteTable::MatchIn(std::string_view aHost, std::string_view aPath) const
+{
+  auto routes = byHost_.find(aHost);
+  if (routes == byHost_.end()) {
+    return nullptr;
+  }
+  for (size_t length : routes->second.lengths) {
+    if (length > aPath.size()) {
       continue;
     }
-    auto found = byPrefix_.find(path.substr(0, length));
-    if (found == byPrefix_.end()) {
+    auto found = routes->second.byPrefix.find(aPath.substr(0, length));
+    if (found == routes->second.byPrefix.end()) {
       continue;
     }
-    // `CheckClosed` has made sure that both exist in this very configuration.
-    const RouteSpec& route = *found->second;
-    return ResolvedRoute{ &route,
-                          &configuration_->services.at(route.service).spec,
-                          &configuration_->policies.at(route.policy).spec };
+    bool isLiteral = found->second->matching == PathMatching::Literal;
+    if (isLiteral || EndsAtSegment(aPath, length)) {
+      return found->second;
+    }
   }
-  return std::nullopt;
+  return nullptr;
 }
 
 bool IsIdempotentMethod(std::string_view aMethod)
--- a/src/routing/Routing.h
+++ b/src/routing/Routing.h
@@ -8,6 +8,7 @@
 #include "routing/CallOutcome.h"
 #include "routing/Hedging.h"
 #include "routing/RouteTable.h"
+#include "routing/SplitChoice.h"
 #include "routing/UpstreamChoice.h"
 
 #endif
--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -20,6 +20,32 @@
 constexpr Duration kStartGrace = seconds(5);
 constexpr double kMostColdFactor = 20;
 
+/// Round trips by distance: in the zone, in the region, between the regions (the users' table of
+/// sizes: 0.5 ms between zones, 20 ms between regions, one way).
+constexpr Duration kZoneRoundTrip = microseconds(400);
+constexpr Duration kRegionRoundTrip = milliseconds(1);
+constexpr Duration kFarRoundTrip = milliseconds(40);
+/// Time that callers would rather wait than send a kilobyte of an answer out of the zone, and out of
+/// the region: the paid links cost the users about what these delays cost them.
+constexpr Duration kZoneKilobyte = milliseconds(4);
+constexpr Duration kFarKilobyte = milliseconds(14);
+/// A failed attempt costs its caller about this much time.
+constexpr Duration kCostOfFailure = milliseconds(800);
+constexpr Duration kFailureHalfLife = seconds(2);
+/// Share of one attempt in the smoothed share of failures, and of one answer in what is known of
+/// a kind.
+constexpr double kFailureShare = 0.2;
+constexpr double kKindShare = 0.05;
+/// Evidence that an upstream is slower than others halves in this time without a new answer.
+constexpr Duration kSlownessHalfLife = seconds(2);
+/// Differences below this are left to chance.
+constexpr Duration kTie = milliseconds(3);
+
+double HalfLives(Duration aAge, Duration aHalfLife)
+{
+  return std::chrono::duration<double>(aAge) / std::chrono::duration<double>(aHalfLife);
+}
+
 double Smoothed(double aOld, double aSample)
 {
   double share = aSample > aOld ? kRise : kFall;
@@ -37,6 +63,8 @@
       return TwoChoices{};
     case ChoiceName::LeastExpectedTime:
       return LeastExpectedTime{};
+    case ChoiceName::EarliestFinish:
+      return EarliestFinish{};
   }
   return LeastExpectedTime{};
 }
@@ -59,14 +87,148 @@
       all.push_back(&member);
     }
   }
+  if (std::holds_alternative<EarliestFinish>(strategy_)) {
+    PreferHealthy(all, aNow);
+    return PickEarliest(all, aSelf, aQuery, aNow);
+  }
   Candidates near = Near(all, aSelf, aQuery.mayCrossRegion);
   PreferHealthy(near, aNow);
   return near.empty() ? nullptr : Pick(near, aQuery.coldStart, aNow);
 }
 
+const Member* UpstreamChoice::PickEarliest(const Candidates& aCandidates,
+                                           const Member& aSelf,
+                                           const ChoiceQuery& aQuery,
+                                           TimePoint aNow)
+{
+  const Member* best = nullptr;
+  double bestCost = 0;
+  Duration bestFinish = Duration::zero();
+  for (const Member* member : aCandidates) {
+    auto found = seen_.find(member->id);
+    const Seen* seen = found == seen_.end() ? nullptr : &found->second;
+    Duration work = ExpectedWork(seen, aQuery.kind, aNow);
+    Duration finish = work + Distance(*member, aSelf);
+    double failures = 0;
+    if (seen != nullptr) {
+      finish += ExpectedWait(*seen, work, aNow);
+      failures = seen->failures * std::exp2(-HalfLives(aNow - seen->failuresAt, kFailureHalfLife));
+    }
+    Duration price = PriceOfBytes(*member, aSelf, aQuery.kind);
+    double cost = static_cast<double>((finish + price).count()) +
+                  failures * static_cast<double>(kCostOfFailure.count());
+    // A little chance, or all callers would go to the same of several equal ones.
+    cost += static_cast<double>(random_() % static_cast<uint64_t>(kTie.count()));
+    if (best == nullptr || cost < bestCost) {
+      best = member;
+      bestCost = cost;
+      bestFinish = finish;
+    }
+  }
+  bool isSecondAsk = !aQuery.tried.empty();
+  return isSecondAsk && bestFinish > aQuery.timeLeft ? nullptr : best;
+}
+
+Duration UpstreamChoice::ExpectedWait(const Seen& aSeen, Duration aWork, TimePoint aNow) const
+{
+  // The queue that was seen moves on; what this node has sent since stands behind it.
+  Duration wait = std::max(Duration::zero(), aSeen.gate.wait - (aNow - aSeen.gateAt));
+  int64_t slots = std::max<int64_t>(1, aSeen.gate.slots);
+  int64_t behind = std::max<int64_t>(0, aSeen.begunSince - aSeen.gate.freeSlots);
+  return wait + aWork * behind / slots;
+}
+
+Duration UpstreamChoice::ExpectedWork(const Seen* aSeen,
+                                      const std::string& aKind,
+                                      TimePoint aNow) const
+{
+  auto kind = kinds_.find(aKind);
+  Duration usual = kind == kinds_.end() ? kUnknownLatency : kind->second.work;
+  if (aSeen == nullptr) {
+    return usual;
+  }
+  auto known = aSeen->work.find(aKind);
+  if (known == aSeen->work.end()) {
+    return usual;
+  }
+  // Evidence of slowness fades, so that an upstream that was slow is tried again.
+  double weight = std::exp2(-HalfLives(aNow - aSeen->gateAt, kSlownessHalfLife));
+  double excess = static_cast<double>((known->second - usual).count());
+  return usual + Duration(static_cast<int64_t>(weight * excess));
+}
+
+Duration UpstreamChoice::Distance(const Member& aMember, const Member& aSelf) const
+{
+  if (aMember.id == aSelf.id) {
+    return Duration::zero();
+  }
+  if (aMember.zone == aSelf.zone) {
+    return kZoneRoundTrip;
+  }
+  return aMember.region == aSelf.region ? kRegionRoundTrip : kFarRoundTrip;
+}
+
+Duration UpstreamChoice::PriceOfBytes(const Member& aMember,
+                                      const Member& aSelf,
+                                      const std::string& aKind) const
+{
+  auto kind = kinds_.find(aKind);
+  if (aMember.zone == aSelf.zone || kind == kinds_.end()) {
+    return Duration::zero();
+  }
+  bool isFar = aMember.region != aSelf.region;
+  constexpr double kBytesPerKilobyte = 1024;
+  double kilobytes = kind->second.answerBytes / kBytesPerKilobyte;
+  double perKilobyte = static_cast<double>((isFar ? kFarKilobyte : kZoneKilobyte).count());
+  return Duration(static_cast<int64_t>(kilobytes * perKilobyte));
+}
+
+Duration UpstreamChoice::ShortestWait(const MemberTable& aTable,
+                                      const ChoiceQuery& aQuery,
+                                      TimePoint aNow) const
+{
+  std::optional<Duration> shortest;
+  for (const auto& [id, member] : aTable.All()) {
+    auto seen = seen_.find(id);
+    if (member.service == aQuery.service && TakesWork(member) && seen != seen_.end()) {
+      Duration work = ExpectedWork(&seen->second, aQuery.kind, aNow);
+      Duration wait = ExpectedWait(seen->second, work, aNow);
+      shortest = std::min(shortest.value_or(wait), wait);
+    }
+  }
+  return shortest.value_or(Duration::zero());
+}
+
 void UpstreamChoice::OnAttemptBegan(const std::string& aMember)
 {
-  ++seen_[aMember].outstanding;
+  Seen& seen = seen_[aMember];
+  ++seen.outstanding;
+  ++seen.begunSince;
+}
+
+void UpstreamChoice::TakeGateEvidence(Seen& aSeen,
+                                      const AttemptEvidence& aEvidence,
+                                      TimePoint aNow)
+{
+  double faded = aSeen.failures * std::exp2(-HalfLives(aNow - aSeen.failuresAt, kFailureHalfLife));
+  aSeen.failures = faded + kFailureShare * ((aEvidence.hasFailed ? 1.0 : 0.0) - faded);
+  aSeen.failuresAt = aNow;
+  if (!aEvidence.gate.has_value()) {
+    return;
+  }
+  aSeen.gate = *aEvidence.gate;
+  aSeen.gateAt = aNow;
+  aSeen.begunSince = 0;
+  aSeen.work[aEvidence.kind] = aEvidence.gate->work;
+  KindSeen& kind = kinds_[aEvidence.kind];
+  bool isFirst = kind.work == Duration::zero();
+  double share = isFirst ? 1 : kKindShare;
+  double change = share * static_cast<double>((aEvidence.gate->work - kind.work).count());
+  kind.work += Duration(static_cast<int64_t>(change));
+  if (aEvidence.answerBytes > 0) {
+    share = kind.answerBytes == 0 ? 1 : kKindShare;
+    kind.answerBytes += share * (static_cast<double>(aEvidence.answerBytes) - kind.answerBytes);
+  }
 }
 
 void UpstreamChoice::OnAttemptEnded(const std::string& aMember,
@@ -85,6 +247,7 @@
   if (aEvidence.isCensored) {
     return;
   }
+  TakeGateEvidence(seen, aEvidence, aNow);
   seen.queueLength = aEvidence.queueLength;
   if (!aEvidence.hasFailed) {
     seen.failuresInRow = 0;
@@ -150,6 +313,7 @@
     Overloaded{
       [&](const RandomChoice&) { return first; },
       [&](const TwoChoices&) { return Load(*second) < Load(*first) ? second : first; },
+      [&](const EarliestFinish&) { return first; },
       [&](const LeastExpectedTime&) {
         double firstTime = ExpectedTime(*first, aNow) * ColdFactor(*first, aColdStart, aNow);
         double secondTime = ExpectedTime(*second, aNow) * ColdFactor(*second, aColdStart, aNow);
--- a/src/routing/UpstreamChoice.h
+++ b/src/routing/UpstreamChoice.h
@@ -2,6 +2,7 @@
 #ifndef DANDELION_ROUTING_UPSTREAM_CHOICE_H
 #define DANDELION_ROUTING_UPSTREAM_CHOICE_H
 
+#include "admission/Admission.h"
 #include "membership/Membership.h"
 
 #include <map>
@@ -24,13 +25,19 @@
 /// there and how long its answers have taken.
 struct LeastExpectedTime
 {};
-using ChoiceStrategy = std::variant<RandomChoice, TwoChoices, LeastExpectedTime>;
+/// The one of all upstreams within reach that should end the call first, by what its gate has said
+/// of its queue and of the work, by the way there, and by the bytes that the way makes dearer.
+struct EarliestFinish
+{};
+using ChoiceStrategy =
+  std::variant<RandomChoice, TwoChoices, LeastExpectedTime, EarliestFinish>;
 
 enum class ChoiceName
 {
   Random,
   TwoChoices,
   LeastExpectedTime,
+  EarliestFinish,
 };
 
 template<>
@@ -40,6 +47,7 @@
     { ChoiceName::Random, "random" },
     { ChoiceName::TwoChoices, "two-choices" },
     { ChoiceName::LeastExpectedTime, "least-expected-time" },
+    { ChoiceName::EarliestFinish, "earliest-finish" },
   };
 };
 
@@ -53,6 +61,10 @@
   Duration coldStart = Duration::zero();
   /// Upstreams that have refused or lost this call already.
   const std::set<std::string>& tried;
+  /// Calls of one kind take about the same work and bytes: the name of their policy.
+  std::string kind = {};
+  /// Time that is left to the target. A second upstream is asked only if it should meet it.
+  Duration timeLeft = Duration::max();
 };
 
 /// What an attempt has shown of its upstream.
@@ -65,6 +77,11 @@
   Duration taken = Duration::zero();
   /// The attempt was given up before an answer: its time is only a lower bound.
   bool isCensored = false;
+  /// What the gate beside the upstream expects of a further call of this kind, where it has said.
+  std::optional<GateEvidence> gate = {};
+  std::string kind = {};
+  /// Bytes of the answer; 0 where there was none.
+  size_t answerBytes = 0;
 };
 
 /// What this node has seen of the upstreams it calls.
@@ -85,6 +102,9 @@
 
   int64_t Outstanding(const std::string& aMember) const;
 
+  /// The shortest wait at any upstream within reach, for callers that are told to come back.
+  Duration ShortestWait(const MemberTable& aTable, const ChoiceQuery& aQuery, TimePoint aNow) const;
+
 private:
   struct Seen
   {
@@ -97,6 +117,21 @@
     TimePoint latencyAt;
     uint64_t incarnation = 0;
     TimePoint firstSeen;
+    /// What its gate has said last, when, and the attempts begun since.
+    GateEvidence gate;
+    TimePoint gateAt;
+    int64_t begunSince = 0;
+    /// Work of each kind there.
+    std::map<std::string, Duration> work;
+    /// Share of its attempts that failed of late.
+    double failures = 0;
+    TimePoint failuresAt;
+  };
+  /// What calls of a kind are like at all upstreams together.
+  struct KindSeen
+  {
+    Duration work = Duration::zero();
+    double answerBytes = 0;
   };
   using Candidates = std::vector<const Member*>;
 
@@ -105,12 +140,25 @@
   const Member* Pick(const Candidates& aCandidates, Duration aColdStart, TimePoint aNow);
   int64_t Load(const Member& aMember) const;
   double ExpectedTime(const Member& aMember, TimePoint aNow) const;
+  Duration ExpectedWait(const Seen& aSeen, Duration aWork, TimePoint aNow) const;
+  Duration ExpectedWork(const Seen* aSeen, const std::string& aKind, TimePoint aNow) const;
+  /// Time that the way to a member takes, and what its bytes are worth in time.
+  Duration Distance(const Member& aMember, const Member& aSelf) const;
+  Duration PriceOfBytes(const Member& aMember,
+                        const Member& aSelf,
+                        const std::string& aKind) const;
+  const Member* PickEarliest(const Candidates& aCandidates,
+                             const Member& aSelf,
+                             const ChoiceQuery& aQuery,
+                             TimePoint aNow);
+  void TakeGateEvidence(Seen& aSeen, const AttemptEvidence& aEvidence, TimePoint aNow);
   double ColdFactor(const Member& aMember, Duration aColdStart, TimePoint aNow);
 
   ChoiceStrategy strategy_;
   std::mt19937_64 random_;
   TimePoint createdAt_;
   std::map<std::string, Seen> seen_;
+  std::map<std::string, KindSeen> kinds_;
 };
 
 } // namespace dandelion
--- a/src/spread/CatchUp.cpp
+++ b/src/spread/CatchUp.cpp
@@ -41,6 +41,7 @@
   highestSeen_ = std::max(highestSeen_, aVersion);
   fruitless_ = 0;
   waitingSince_.reset();
+  behindSince_.reset();
   for (auto peer = ahead_.begin(); peer != ahead_.end();) {
     peer = peer->second <= inForce_ ? ahead_.erase(peer) : std::next(peer);
   }
@@ -49,6 +50,13 @@
 std::optional<CatchUpEffect> CatchUp::Next(TimePoint aNow)
 {
   if (!IsBehind()) {
+    behindSince_.reset();
+    return std::nullopt;
+  }
+  if (!behindSince_.has_value()) {
+    behindSince_ = aNow;
+  }
+  if (aNow - *behindSince_ < patience_) {
     return std::nullopt;
   }
   if (waitingSince_.has_value()) {
--- a/src/spread/CatchUp.h
+++ b/src/spread/CatchUp.h
@@ -25,6 +25,12 @@
 class CatchUp
 {
 public:
+  /// A node that is behind waits this long for the version to be pushed before it pulls.
+  explicit CatchUp(Duration aPatience = Duration::zero())
+    : patience_(aPatience)
+  {
+  }
+
   /// A peer has shown that it holds `aVersion`.
   void OnVersionSeen(const Endpoint& aPeer, Version aVersion);
 
@@ -42,6 +48,8 @@
   bool IsBehind() const { return highestSeen_ > inForce_; }
 
 private:
+  Duration patience_;
+  std::optional<TimePoint> behindSince_;
   Version inForce_ = 0;
   Version highestSeen_ = 0;
   /// Peers that hold more than this node, and what they hold.
--- a/src/spread/Overlay.cpp
+++ b/src/spread/Overlay.cpp
@@ -88,6 +88,10 @@
 {
   std::vector<const Member*> targets;
   AddChildrenInZone(targets, aTable, aSelf);
+  if (aStoreRegion.empty()) {
+    // Each zone's relays watch the store themselves.
+    return targets;
+  }
   bool isRegionRelay = IsFirst(aTable.RankedInRegion(aSelf.region), aSelf);
   if (isRegionRelay && aSelf.region == aStoreRegion) {
     AddRegionRelays(targets, aTable, aSelf);
@@ -112,7 +116,8 @@
 
 bool WatchesStore(const MemberTable& aTable, const Member& aSelf, const std::string& aStoreRegion)
 {
-  return aSelf.region == aStoreRegion && Contains(RelaysOfZone(aTable, aSelf.zone), aSelf.id);
+  bool mayWatch = aStoreRegion.empty() || aSelf.region == aStoreRegion;
+  return mayWatch && Contains(RelaysOfZone(aTable, aSelf.zone), aSelf.id);
 }
 
 } // namespace dandelion
--- a/src/spread/Overlay.h
+++ b/src/spread/Overlay.h
@@ -32,7 +32,8 @@
 /// Members to which the node that wrote an entry hands it first: its zone's and region's relays.
 std::vector<const Member*> HandOverTargets(const MemberTable& aTable, const Member& aSelf);
 
-/// This node watches the store: it is a relay of a zone in the store's region.
+/// This node watches the store: it is a relay of a zone in the store's region, or of any zone where
+/// that region is not known.
 bool WatchesStore(const MemberTable& aTable, const Member& aSelf, const std::string& aStoreRegion);
 
 } // namespace dandelion
--- a/src/wire/CallHeaders.cpp
+++ b/src/wire/CallHeaders.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 
 #include <algorithm>
 #include <array>
@@ -17,7 +19,7 @@
 constexpr int64_t kLongestTimeMs = 24 * 3600 * 1000;
 constexpr int64_t kMostRepeats = 100;
 
-absl::Status Unreadable(const char* aHeader, const std::string& aValue, const std::string& aRemedy)
+absl::Status Unreadable(std::string_view aHeader, const std::string& aValue, const std::string& aRemedy)
 {
   return MakeError(
     ErrorKind::Usage,
@@ -25,7 +27,7 @@
 }
 
 absl::Status ReadNumber(const HttpHeaders& aHeaders,
-                        const char* aName,
+                        std::string_view aName,
                         int64_t aMost,
                         std::optional<int64_t>& aValue)
 {
@@ -43,17 +45,21 @@
 
 } // namespace
 
-absl::StatusOr<InheritedLimits> ReadLimits(const HttpHeaders& aHeaders)
+absl::StatusOr<InheritedLimits> ReadLimits(const HttpHeaders& aHeaders,
+                                           const CallVocabulary& aVocabulary)
 {
   InheritedLimits limits;
   std::optional<int64_t> timeLeftMs;
-  absl::Status status = ReadNumber(aHeaders, kDeadlineHeader, kLongestTimeMs, timeLeftMs);
-  if (!status.ok()) {
+  absl::Status status = ReadNumber(aHeaders, aVocabulary.deadline, kLongestTimeMs, timeLeftMs);
+  if (!status.ok() && !aVocabulary.passesOverBadLimits) {
     return status;
   }
   if (timeLeftMs.has_value()) {
     limits.timeLeft = milliseconds(*timeLeftMs);
   }
+  if (!aVocabulary.carriesChain) {
+    return limits;
+  }
   status = ReadNumber(aHeaders, kRepeatsHeader, kMostRepeats, limits.repeatsLeft);
   if (!status.ok()) {
     return status;
@@ -66,11 +72,47 @@
   return limits;
 }
 
-HttpHeaders MakeLimitHeaders(const OpenCall& aCall)
+HttpHeaders MakeLimitHeaders(const OpenCall& aCall, const CallVocabulary& aVocabulary)
+{
+  HttpHeaders headers = { { aVocabulary.deadline, std::to_string(aCall.deadlineMs) } };
+  if (aVocabulary.carriesChain) {
+    headers.emplace_back(kClassHeader, std::string(NameOf(aCall.trafficClass)));
+    headers.emplace_back(kRepeatsHeader, std::to_string(aCall.repeatsLeft));
+  }
+  return headers;
+}
+
+bool CallVocabulary::IsOwn(std::string_view aName) const
+{
+  absl::string_view name(aName.data(), aName.size());
+  for (const std::string* own : { &deadline, &targetUpstream, &callerService, &refusal }) {
+    if (absl::EqualsIgnoreCase(name, *own)) {
+      return true;
+    }
+  }
+  return IsCallHeader(aName);
+}
+
+bool IsHopHeader(std::string_view aName, std::string_view aConnection)
 {
-  return { { kDeadlineHeader, std::to_string(aCall.deadlineMs) },
-           { kClassHeader, std::string(NameOf(aCall.trafficClass)) },
-           { kRepeatsHeader, std::to_string(aCall.repeatsLeft) } };
+  constexpr std::array<const char*, 9> kHopHeaders = {
+    "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade",
+    "te",         "trailer",    "proxy-connection",  "expect",
+  };
+  absl::string_view name(aName.data(), aName.size());
+  auto isSame = [&](absl::string_view aHop) {
+    return absl::EqualsIgnoreCase(name, absl::StripAsciiWhitespace(aHop));
+  };
+  if (std::any_of(kHopHeaders.begin(), kHopHeaders.end(), isSame)) {
+    return true;
+  }
+  absl::string_view connection(aConnection.data(), aConnection.size());
+  for (absl::string_view named : absl::StrSplit(connection, ',')) {
+    if (isSame(named)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 bool IsCallHeader(std::string_view aName)
--- a/src/wire/HttpUpstream.cpp
+++ b/src/wire/HttpUpstream.cpp
@@ -1,81 +1,72 @@
 #include "wire/HttpUpstream.h"
 
-#include "wire/CallHeaders.h"
+#include "wire/UpstreamAnswer.h"
 
-#include <algorithm>
-#include <array>
-
-#include <strings.h>
+#include "absl/strings/match.h"
 
 namespace dandelion {
 
 namespace {
 
-/// Headers that belong to one connection and are not passed on.
-constexpr std::array<const char*, 6> kHopHeaders = {
-  "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te",
-};
-
-bool IsPassedOn(const std::string& aName)
-{
-  auto isSame = [&](const char* aHop) { return strcasecmp(aHop, aName.c_str()) == 0; };
-  bool isHopHeader = std::any_of(kHopHeaders.begin(), kHopHeaders.end(), isSame);
-  return !isHopHeader && !IsCallHeader(aName);
-}
+/// An upstream may be closing a connection that was idle for longer; a call that may run only once
+/// is trusted to fresh ones alone, since nobody knows what became of it on a closing one.
+constexpr Duration kMostIdle = seconds(3);
+constexpr Duration kMostIdleForOnce = milliseconds(300);
 
-UpstreamResult ToUpstreamResult(const HttpResult& aResult)
+HttpRequest ToHttpRequest(const OpenCall& aCall, const CallVocabulary& aVocabulary)
 {
-  UpstreamResult result;
-  switch (aResult.outcome) {
-    case HttpOutcome::NotSent:
-      result.outcome = CallOutcome::NotRun;
-      return result;
-    case HttpOutcome::Lost:
-      result.outcome = CallOutcome::Unknown;
-      return result;
-    case HttpOutcome::Answered:
-      break;
+  HttpRequest request;
+  request.method = aCall.method;
+  request.target = aCall.target;
+  request.body = aCall.body.data;
+  std::string connection;
+  for (const HeaderField& header : aCall.headers) {
+    if (absl::EqualsIgnoreCase(header.name, "Connection")) {
+      connection = header.value;
+    }
   }
-  bool isRefusal =
-    FindHeader(aResult.response.headers, kOutcomeHeader) == NameOf(CallOutcome::NotRun);
-  result.outcome = isRefusal ? CallOutcome::NotRun : CallOutcome::Ran;
-  result.isRetried = !FindHeader(aResult.response.headers, kRetriedHeader).empty();
-  result.status = aResult.response.status;
-  for (const auto& [name, value] : aResult.response.headers) {
-    if (IsPassedOn(name)) {
-      result.headers.push_back({ name, value });
+  for (const HeaderField& header : aCall.headers) {
+    if (!IsHopHeader(header.name, connection) && !aVocabulary.IsOwn(header.name)) {
+      request.headers.emplace_back(header.name, header.value);
     }
   }
-  result.body = aResult.response.body;
-  return result;
+  for (auto& header : MakeLimitHeaders(aCall, aVocabulary)) {
+    request.headers.push_back(std::move(header));
+  }
+  if (!aVocabulary.targetUpstream.empty() && !aCall.upstreamId.empty()) {
+    request.headers.emplace_back(aVocabulary.targetUpstream, aCall.upstreamId);
+  }
+  if (!aVocabulary.callerService.empty() && !aCall.callerService.empty()) {
+    request.headers.emplace_back(aVocabulary.callerService, aCall.callerService);
+  }
+  return request;
 }
 
 } // namespace
 
-HttpUpstream::HttpUpstream(Loop& aLoop, Endpoint aUpstream)
+HttpUpstream::HttpUpstream(Loop& aLoop, Endpoint aUpstream, CallVocabulary aVocabulary)
   : client_(aLoop)
   , upstream_(std::move(aUpstream))
+  , vocabulary_(std::move(aVocabulary))
 {
 }
 
 Upstream::RequestId HttpUpstream::Send(const OpenCall& aCall, OnResult aOnResult)
 {
-  HttpRequest request;
-  request.method = aCall.method;
-  request.target = aCall.target;
-  request.body = aCall.body.data;
-  for (const HeaderField& header : aCall.headers) {
-    if (IsPassedOn(header.name)) {
-      request.headers.emplace_back(header.name, header.value);
-    }
-  }
-  for (auto& header : MakeLimitHeaders(aCall)) {
-    request.headers.push_back(std::move(header));
-  }
-  auto onResult = [done = std::move(aOnResult)](const HttpResult& aResult) {
-    done(ToUpstreamResult(aResult));
+  // The body has gone into the request; what is left identifies the call.
+  OpenCall call = aCall;
+  call.body.data.clear();
+  call.headers.clear();
+  HttpSendOptions options;
+  options.timeLimit = milliseconds(aCall.deadlineMs);
+  options.mostIdle = aCall.isIdempotent ? kMostIdle : kMostIdleForOnce;
+  options.isOwn = [this, call](int /* aStatus */, const HttpHeaders& aHeaders) {
+    return IsAnswerTo(call, aHeaders, vocabulary_);
+  };
+  auto onResult = [this, call, done = std::move(aOnResult)](const HttpResult& aResult) {
+    done(ReadAnswer(call, aResult, vocabulary_));
   };
-  return client_.Send(upstream_, request, milliseconds(aCall.deadlineMs), onResult);
+  return client_.Send(upstream_, ToHttpRequest(aCall, vocabulary_), options, onResult);
 }
 
 } // namespace dandelion
--- a/src/wire/HttpUpstream.h
+++ b/src/wire/HttpUpstream.h
@@ -2,6 +2,7 @@
 #ifndef DANDELION_WIRE_HTTP_UPSTREAM_H
 #define DANDELION_WIRE_HTTP_UPSTREAM_H
 
+#include "wire/CallHeaders.h"
 #include "wire/Http.h"
 #include "wire/Upstream.h"
 
@@ -12,7 +13,7 @@
   , public Upstream
 {
 public:
-  HttpUpstream(Loop& aLoop, Endpoint aUpstream);
+  HttpUpstream(Loop& aLoop, Endpoint aUpstream, CallVocabulary aVocabulary = CallVocabulary());
 
   RequestId Send(const OpenCall& aCall, OnResult aOnResult) override;
   void Cancel(RequestId aId) override { client_.Cancel(aId); }
@@ -20,6 +21,7 @@
 private:
   HttpClient client_;
   Endpoint upstream_;
+  CallVocabulary vocabulary_;
 };
 
 } // namespace dandelion
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -100,6 +100,19 @@
   std::string target;
   std::vector<HeaderField> headers;
   Bytes body;
+  /// The policy of the route. Calls under one policy take about the same work.
+  std::string policy = {};
+  /// What is left of the time within which an answer is worth most; 0 where there is no target.
+  int64_t targetMs = 0;
+  int64_t priority = 1;
+  /// Running it twice does no harm.
+  bool isIdempotent = false;
+  /// The service beside whose upstream the call began.
+  std::string callerService = {};
+  /// The caller's own name of the call, for logs.
+  std::string requestId = {};
+  /// The incarnation of the upstream that is meant; known beside the upstream only.
+  std::string upstreamId = {};
 };
 
 struct CallReply
@@ -115,6 +128,13 @@
   Bytes body;
   /// Calls that wait beside the upstream, as evidence for the choice of upstream.
   int64_t queueLength = 0;
+  /// The call was handed to the upstream, if only to be refused there.
+  bool hasReachedUpstream = false;
+  /// What the gate expects of a further call of this kind.
+  int64_t slots = 0;
+  int64_t freeSlots = 0;
+  int64_t waitUs = 0;
+  int64_t workUs = 0;
 };
 
 struct CancelCall
@@ -226,6 +246,13 @@
   aVisitor.Field("target", aCall.target);
   aVisitor.Field("headers", aCall.headers);
   aVisitor.Field("body", aCall.body);
+  aVisitor.Field("policy", aCall.policy);
+  aVisitor.Field("target_ms", aCall.targetMs);
+  aVisitor.Field("priority", aCall.priority);
+  aVisitor.Field("idempotent", aCall.isIdempotent);
+  aVisitor.Field("caller_service", aCall.callerService);
+  aVisitor.Field("request_id", aCall.requestId);
+  aVisitor.Field("upstream_id", aCall.upstreamId);
 }
 
 template<class Visitor>
@@ -239,6 +266,11 @@
   aVisitor.Field("headers", aReply.headers);
   aVisitor.Field("body", aReply.body);
   aVisitor.Field("queue_length", aReply.queueLength);
+  aVisitor.Field("reached_upstream", aReply.hasReachedUpstream);
+  aVisitor.Field("slots", aReply.slots);
+  aVisitor.Field("free_slots", aReply.freeSlots);
+  aVisitor.Field("wait_us", aReply.waitUs);
+  aVisitor.Field("work_us", aReply.workUs);
 }
 
 template<class Visitor>
--- a/src/wire/Upstream.h
+++ b/src/wire/Upstream.h
@@ -17,6 +17,10 @@
   int status = 0;
   std::vector<HeaderField> headers;
   std::string body;
+  /// Bytes of the call may have reached the upstream.
+  bool hasReached = true;
+  /// Why an answer that came is not passed on.
+  std::string fault = {};
 };
 
 class Upstream
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -16,6 +16,7 @@
 #include "wire/Store.h"
 #include "wire/UdpDatagrams.h"
 #include "wire/Upstream.h"
+#include "wire/UpstreamAnswer.h"
 #include "wire/WebsocketLinks.h"
 
 #endif
--- a/test/correctness/CallersNodeRepeatsSafely.cpp
+++ b/test/correctness/CallersNodeRepeatsSafely.cpp
@@ -49,7 +49,10 @@
   }
 
   /// Ends the newest attempt with an outcome.
-  void Reply(CallOutcome aOutcome, std::optional<ErrorKind> aError, bool aIsRetried = false)
+  void Reply(CallOutcome aOutcome,
+             std::optional<ErrorKind> aError,
+             bool aIsRetried = false,
+             int64_t aStatus = 200)
   {
     auto [link, message] = sent.back();
     CallReply reply;
@@ -57,7 +60,7 @@
     reply.outcome = aOutcome;
     reply.error = aError;
     reply.isRetried = aIsRetried;
-    reply.status = 200;
+    reply.status = aOutcome == CallOutcome::Ran ? aStatus : 0;
     calls->OnLinkMessage(link, reply);
   }
 
@@ -168,3 +171,17 @@
   bench.Reply(CallOutcome::NotRun, ErrorKind::Overloaded);
   cr_assert_eq(bench.sent.size(), 2);
 }
+
+Test(callers_node, answers_with_the_failure_of_the_run_when_the_repeat_is_refused)
+{
+  for (CallOutcome repeat : { CallOutcome::NotRun, CallOutcome::Unknown }) {
+    Bench bench;
+    bench.Begin("GET");
+    bench.Reply(CallOutcome::Ran, std::nullopt, false, 500);
+    cr_assert_eq(bench.sent.size(), 2);
+    bench.Reply(repeat, ErrorKind::Overloaded);
+    cr_assert_eq(bench.answers.size(), 1);
+    cr_assert(bench.answers[0].outcome == CallOutcome::Ran);
+    cr_assert_eq(bench.answers[0].status, 500);
+  }
+}
--- a/test/correctness/UpstreamsNodeGuardsItsUpstream.cpp
+++ b/test/correctness/UpstreamsNodeGuardsItsUpstream.cpp
@@ -26,12 +26,11 @@
     releases = &AddTo<FakeReleases>(registry, ServiceName::Releases);
     membership =
       &AddTo<FakeMembership>(registry, ServiceName::Membership, MakeMember("self", "s0", 1));
+    upstreamState = &AddTo<FakeUpstreamState>(registry, ServiceName::UpstreamState);
     admission = &AddTo<AdmissionService>(registry, ServiceName::Admission, context);
     ALLOW_CALL(*links, AddHandler(_));
     cr_assert(registry.StartAll().ok());
-    Configuration first = MakeFirstConfiguration();
-    first.services["s0"].spec.slots = 1;
-    releases->Set(first);
+    releases->Set(MakeFirstConfiguration());
   }
 
   OpenCall MakeCall(uint64_t aId, Version aVersion)
@@ -68,6 +67,7 @@
   MockUpstream* upstream = nullptr;
   FakeReleases* releases = nullptr;
   FakeMembership* membership = nullptr;
+  FakeUpstreamState* upstreamState = nullptr;
   AdmissionService* admission = nullptr;
   std::map<uint64_t, CallReply> replies;
 };
@@ -126,3 +126,26 @@
   // The slot of the cancelled call goes to the one that waits.
   bench.admission->Cancel(ticket);
 }
+
+Test(upstreams_node, refuses_all_from_the_moment_its_upstream_leaves)
+{
+  Bench bench;
+  Upstream::OnResult finish;
+  REQUIRE_CALL(*bench.upstream, Send(_, _)).LR_SIDE_EFFECT(finish = _2).RETURN(7u).TIMES(1);
+  bench.Serve(bench.MakeCall(1, 1));
+  bench.Serve(bench.MakeCall(2, 1));
+  bench.upstreamState->Set(0);
+  // What waited can still run elsewhere; what runs is finished.
+  cr_assert(bench.replies.at(2).error == ErrorKind::Leaving);
+  bench.Serve(bench.MakeCall(3, 1));
+  cr_assert(bench.replies.at(3).error == ErrorKind::Leaving);
+  finish(UpstreamResult{ CallOutcome::Ran, false, 200, {}, "" });
+  cr_assert(bench.replies.at(1).outcome == CallOutcome::Ran);
+}
+
+Test(upstreams_node, names_the_upstream_that_is_meant)
+{
+  Bench bench;
+  REQUIRE_CALL(*bench.upstream, Send(_, _)).WITH(_1.upstreamId == "upstream-1").RETURN(7u);
+  bench.Serve(bench.MakeCall(1, 1));
+}
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -86,6 +86,33 @@
   std::vector<std::function<void()>> listeners_;
 };
 
+/// An upstream beside the node whose state a test sets.
+class FakeUpstreamState
+  : public Service
+  , public UpstreamState
+{
+public:
+  void Set(int64_t aSlots)
+  {
+    slots_ = aSlots;
+    for (const auto& listener : listeners_) {
+      listener();
+    }
+  }
+
+  int64_t Slots() const override { return slots_; }
+  const std::string& Id() const override { return id_; }
+  void AddListener(std::function<void()> aOnChange) override
+  {
+    listeners_.push_back(std::move(aOnChange));
+  }
+
+private:
+  int64_t slots_ = 1;
+  std::string id_ = "upstream-1";
+  std::vector<std::function<void()>> listeners_;
+};
+
 /// Members that a test sets.
 class FakeMembership
   : public Service
@@ -112,6 +139,7 @@
   void Leave(MemberState /* aState */) override {}
   void MeetSeeds(const std::vector<Endpoint>& /* aSeeds */) override {}
   void OnStoreAnswered(TimePoint /* aAskedAt */) override {}
+  bool IsIsolated(TimePoint /* aNow */) const override { return false; }
 
 private:
   std::string selfId_;
