Versions travel as deltas, strong nodes near the store watch it, SIGHUP reloads

Change: ConfigurationDelta; relays are ranked by what their machine carries; the region whose answers of the store come soonest watches it; changes in quick succession are fetched together; a first start asks the store for less; the choice of upstream learns the time on the way.

--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -188,6 +188,7 @@
   aReply.freeSlots = evidence.freeSlots;
   aReply.waitUs = evidence.wait.count();
   aReply.workUs = evidence.work.count();
+  aReply.elapsedUs = (context_.loop.Now() - found->second.arrivedAt).count();
   OnReply reply = std::move(found->second.reply);
   served_.erase(found);
   reply(aReply);
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -374,6 +374,9 @@
   evidence.queueLength = aReply.queueLength;
   evidence.kind = aCall.route.policy->name;
   evidence.answerBytes = aReply.body.data.size();
+  if (aReply.elapsedUs > 0) {
+    evidence.way = std::max(Duration::zero(), evidence.taken - Duration(aReply.elapsedUs));
+  }
   if (aReply.slots > 0) {
     evidence.gate = GateEvidence{ aReply.queueLength,
                                   aReply.slots,
--- a/src/dandeliond/MembershipService.cpp
+++ b/src/dandeliond/MembershipService.cpp
@@ -21,6 +21,7 @@
   self.farEndpoint = aSettings.peersFromOtherRegions.value_or(aSettings.peers);
   self.incarnation = aIncarnation;
   self.slots = 0;
+  self.strength = static_cast<int64_t>(aSettings.machine.cpuShare * aSettings.machine.linkMbps);
   return self;
 }
 
@@ -153,6 +154,16 @@
   }
 }
 
+void MembershipService::OnStoreAnswered(TimePoint aAskedAt)
+{
+  prober_.Witness(aAskedAt);
+  // The first answer tells near from far; one that comes later on a busy machine says less.
+  if (Self().storeTimeMs == 0) {
+    TimePoint now = context_.loop.Now();
+    Carry(prober_.SetStoreTime(std::max<int64_t>(1, ToMilliseconds(now - aAskedAt)), now));
+  }
+}
+
 bool MembershipService::IsFenced(TimePoint aNow) const
 {
   // A fence keeps "in force everywhere" true. Where nobody is told that, a node that is cut off
@@ -219,6 +230,11 @@
   if (isReady_ || isReadingHead_) {
     return;
   }
+  if (context_.settings.isFirstStart) {
+    // Nothing was ever in force, so there is nothing to fall back behind.
+    joining_.OnStoreHead(0);
+    return;
+  }
   isReadingHead_ = true;
   log_->ReadHead([this](const absl::StatusOr<Version>& aHead) {
     isReadingHead_ = false;
--- a/src/dandeliond/MembershipService.h
+++ b/src/dandeliond/MembershipService.h
@@ -41,7 +41,8 @@
   }
   void Leave(MemberState aState) override;
   void MeetSeeds(const std::vector<Endpoint>& aSeeds) override;
-  void OnStoreAnswered(TimePoint aAskedAt) override { prober_.Witness(aAskedAt); }
+  void OnStoreAnswered(TimePoint aAskedAt) override;
+  void OnStoreLost() override { Carry(prober_.SetStoreTime(0, context_.loop.Now())); }
 
   void OnLinkMessage(LinkId aLink, const LinkMessage& aMessage) override;
 
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -136,6 +136,23 @@
   return registry_.StartAll();
 }
 
+void Node::Reload(const absl::StatusOr<NodeSettings>& aSettings)
+{
+  if (!aSettings.ok()) {
+    Log(LogPart::Kernel,
+        LogLevel::Error,
+        "The new settings are refused and the old ones stay: {}.",
+        Reason(aSettings.status()));
+    return;
+  }
+  bool isSame = ToJson(*aSettings) == ToJson(settings_);
+  SetLogLevel(aSettings->logLevel);
+  Log(LogPart::Kernel,
+      LogLevel::Info,
+      "The settings were read again and {}.",
+      isSame ? "are the same" : "differ; the next start takes them");
+}
+
 void Node::BeginStop()
 {
   if (isStopping_) {
--- a/src/dandeliond/Node.h
+++ b/src/dandeliond/Node.h
@@ -14,6 +14,10 @@
 
   absl::Status Start();
 
+  /// Looks at settings that were read anew. What they change takes effect at the next start, but
+  /// for the log level; requests in progress notice nothing.
+  void Reload(const absl::StatusOr<NodeSettings>& aSettings);
+
   /// Begins a planned stop: new work is refused, work in progress finishes, then the loop stops.
   void BeginStop();
 
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -51,6 +51,14 @@
   double slack = 10;
 };
 
+/// What the node's machine can carry.
+struct MachineSettings
+{
+  /// Part of a processor core.
+  double cpuShare = 1;
+  double linkMbps = 1000;
+};
+
 struct StoreSettings
 {
   std::vector<Endpoint> servers;
@@ -106,6 +114,9 @@
   /// Where the upstream reports itself.
   std::optional<Endpoint> reports;
   RetrySettings retries;
+  MachineSettings machine;
+  /// The whole mesh starts for the first time.
+  bool isFirstStart = false;
 };
 
 template<class Visitor>
@@ -123,6 +134,13 @@
   aVisitor.OptionalField("slack", aSettings.slack);
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, MachineSettings& aSettings)
+{
+  aVisitor.OptionalField("cpu_share", aSettings.cpuShare);
+  aVisitor.OptionalField("link_mbps", aSettings.linkMbps);
+}
+
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, KeySettings& aSettings)
 {
@@ -156,6 +174,8 @@
   aVisitor.OptionalField("readiness", aSettings.readiness);
   aVisitor.OptionalField("reports", aSettings.reports);
   aVisitor.OptionalField("retries", aSettings.retries);
+  aVisitor.OptionalField("machine", aSettings.machine);
+  aVisitor.OptionalField("first_start", aSettings.isFirstStart);
 }
 
 /// Parses and checks settings. The error lists every fault with its path and the remedy.
--- a/src/dandeliond/ReleasesService.cpp
+++ b/src/dandeliond/ReleasesService.cpp
@@ -8,19 +8,30 @@
 }
 
 absl::Status ReleasesService::Offer(const std::vector<Entry>& aEntries)
+{
+  return Take(aEntries);
+}
+
+absl::Status ReleasesService::Offer(const std::vector<ConfigurationDelta>& aDeltas)
+{
+  return Take(aDeltas);
+}
+
+template<class News>
+absl::Status ReleasesService::Take(const std::vector<News>& aNews)
 {
   Version before = Current()->version;
   absl::Status status;
-  for (const Entry& entry : aEntries) {
-    if (entry.version <= Current()->version) {
+  for (const News& news : aNews) {
+    if (news.version <= Current()->version) {
       continue;
     }
-    status = replica_.ApplyEntry(entry);
+    status = Apply(news);
     if (!status.ok()) {
       Log(LogPart::Releases,
           LogLevel::Warning,
           "Version {} is not taken: {}.",
-          entry.version,
+          news.version,
           Reason(status));
       break;
     }
--- a/src/dandeliond/ReleasesService.h
+++ b/src/dandeliond/ReleasesService.h
@@ -19,6 +19,11 @@
   absl::Status Offer(const std::vector<Entry>& aEntries) override;
   absl::Status OfferSnapshot(const Configuration& aConfiguration,
                              const std::string& aHash) override;
+  absl::Status Offer(const std::vector<ConfigurationDelta>& aDeltas) override;
+  std::optional<std::vector<ConfigurationDelta>> DeltasAfter(Version aVersion) const override
+  {
+    return replica_.DeltasAfter(aVersion);
+  }
   std::optional<std::vector<Entry>> EntriesAfter(Version aVersion) const override
   {
     return replica_.EntriesAfter(aVersion);
@@ -29,6 +34,10 @@
   }
 
 private:
+  template<class News>
+  absl::Status Take(const std::vector<News>& aNews);
+  absl::Status Apply(const Entry& aEntry) { return replica_.ApplyEntry(aEntry); }
+  absl::Status Apply(const ConfigurationDelta& aDelta) { return replica_.TakeDelta(aDelta); }
   void Publish();
 
   Replica replica_;
--- a/src/dandeliond/SeedsService.cpp
+++ b/src/dandeliond/SeedsService.cpp
@@ -10,10 +10,11 @@
 
 constexpr char kSeedsPrefix[] = "dandelion/seeds/";
 /// A relay looks for strangers among the seeds this often; a node that is alone more often.
-constexpr Duration kPeriod = seconds(10);
+constexpr Duration kPeriod = seconds(20);
 constexpr Duration kPeriodAlone = seconds(1);
 /// Spreads the calls of nodes that start together.
 constexpr int64_t kStartJitterMs = 200;
+constexpr int64_t kFirstStartJitterMs = 1500;
 constexpr int64_t kPeriodJitterMs = 500;
 constexpr size_t kMostPerZone = 4;
 
@@ -45,7 +46,9 @@
 {
   store_ = &context_.registry.Find<Store>(ServiceName::Store);
   membership_ = &context_.registry.Find<Membership>(ServiceName::Membership);
-  Duration jitter = milliseconds(static_cast<int64_t>(random_() % kStartJitterMs));
+  // On the first start all read at once; those who read first list themselves for the others.
+  int64_t spreadMs = context_.settings.isFirstStart ? kFirstStartJitterMs : kStartJitterMs;
+  Duration jitter = milliseconds(static_cast<int64_t>(random_() % static_cast<uint64_t>(spreadMs)));
   timer_ = context_.loop.After(jitter, [this] { Read(); });
   return absl::OkStatus();
 }
@@ -99,7 +102,7 @@
     }
   }
   membership_->MeetSeeds(contacts);
-  if (membership_->IsReady()) {
+  if (membership_->IsReady() || context_.settings.isFirstStart) {
     OfferSelf(listed);
   }
 }
@@ -107,15 +110,17 @@
 void SeedsService::OfferSelf(const std::map<std::string, Endpoint>& aListed)
 {
   const Member& self = membership_->Self();
+  bool isAlone = membership_->Table().All().size() <= 1;
   size_t living = 0;
   auto ignore = [](const absl::Status&) {};
   for (const auto& [key, endpoint] : aListed) {
     if (endpoint == self.endpoint && key == OwnKey()) {
       return;
     }
-    bool isThere = membership_->Table().FindByEndpoint(endpoint) != nullptr;
+    // Who knows nobody cannot tell the living from the dead.
+    bool isThere = isAlone || membership_->Table().FindByEndpoint(endpoint) != nullptr;
     living += isThere ? 1 : 0;
-    if (!isThere && IsRelayOrAlone() && membership_->Table().All().size() > 1) {
+    if (!isThere && IsRelayOrAlone()) {
       // The node may only be unknown to us; it lists itself again at its next look.
       store_->DeleteRange(key, key + '\0', ignore);
     }
@@ -134,8 +139,9 @@
 bool SeedsService::IsRelayOrAlone() const
 {
   const Member& self = membership_->Self();
-  return membership_->Table().All().size() <= 1 ||
-         Contains(RelaysOfZone(membership_->Table(), self.zone), self.id);
+  std::vector<const Member*> ranked = membership_->Table().RankedInZone(self.zone);
+  bool isFirst = !ranked.empty() && ranked.front()->id == self.id;
+  return isFirst || membership_->Table().All().size() <= 1;
 }
 
 } // namespace dandelion
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -48,7 +48,10 @@
   virtual absl::Status Offer(const std::vector<Entry>& aEntries) = 0;
   virtual absl::Status OfferSnapshot(const Configuration& aConfiguration,
                                      const std::string& aHash) = 0;
+  /// Applies what follows the current version; those before it are passed over.
+  virtual absl::Status Offer(const std::vector<ConfigurationDelta>& aDeltas) = 0;
   virtual std::optional<std::vector<Entry>> EntriesAfter(Version aVersion) const = 0;
+  virtual std::optional<std::vector<ConfigurationDelta>> DeltasAfter(Version aVersion) const = 0;
   /// Told after each rise of the version, in the order in which the listeners were added.
   virtual void AddListener(std::function<void()> aOnVersion) = 0;
 };
@@ -98,6 +101,8 @@
   virtual void MeetSeeds(const std::vector<Endpoint>& aSeeds) = 0;
   /// The store has answered what it was asked at this time, so the node is not cut off.
   virtual void OnStoreAnswered(TimePoint aAskedAt) = 0;
+  /// The store does not answer this node.
+  virtual void OnStoreLost() = 0;
   /// No member has answered for a while.
   virtual bool IsIsolated(TimePoint aNow) const = 0;
 };
--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -17,6 +17,8 @@
 /// A region that has not heard of the store's region for this long reads the store by itself.
 constexpr Duration kStoreRegionSilence = seconds(10);
 /// Where each zone's relays watch the store, a version comes by push or watch within this time.
+/// Relays of a region show themselves to those of the others about once in a second.
+constexpr Duration kRegionAlone = seconds(4);
 constexpr Duration kPushPatience = milliseconds(250);
 constexpr Duration kQuestionLimit = seconds(2);
 /// A snapshot is written each time the log has grown by this many notes.
@@ -52,7 +54,7 @@
     [this](const Endpoint& aFrom, const Datagram& aDatagram) { OnDatagram(aFrom, aDatagram); });
   auto onVersionSeen = [this](const Endpoint& aPeer, Version aVersion) {
     const Member* member = membership_->Table().FindByEndpoint(aPeer);
-    if (member != nullptr && member->region == context_.settings.store.region) {
+    if (member != nullptr && member->region == KnownStoreRegion()) {
       lastStoreRegionContact_ = context_.loop.Now();
     }
     catchUp_.OnVersionSeen(member == nullptr ? aPeer : Reach(*member), aVersion);
@@ -103,6 +105,11 @@
   }
 }
 
+std::string SpreadingService::KnownStoreRegion() const
+{
+  return StoreRegion(membership_->Table(), context_.settings.store.region);
+}
+
 bool SpreadingService::KeepsProgress() const
 {
   // The platform's operators see no progress, and its watches are renewed all the time.
@@ -120,9 +127,11 @@
 {
   const Member& self = membership_->Self();
   // Whoever hears of nobody reads the store itself: a version may be there that no peer can show.
-  bool isOnItsOwn = !KeepsProgress() && membership_->IsIsolated(aNow);
+  // So do the relays of a region that hears nothing of the store's region.
+  bool isRegionAlone = aNow - lastStoreRegionContact_ > kRegionAlone && IsRelay();
+  bool isOnItsOwn = !KeepsProgress() && (membership_->IsIsolated(aNow) || isRegionAlone);
   if (isOnItsOwn ||
-      WatchesStore(membership_->Table(), self, context_.settings.store.region)) {
+      WatchesStore(membership_->Table(), self, KnownStoreRegion())) {
     log_->Follow();
   } else {
     log_->Unfollow();
@@ -136,19 +145,12 @@
     return;
   }
   Version version = releases_->Current()->version;
-  auto entries = releases_->EntriesAfter(std::max(pushed_, version - 1));
+  // Notes follow each other by one; other versions may be any steps apart.
+  Version before = KeepsProgress() ? std::max(pushed_, version - 1) : pushed_;
   pushed_ = version;
-  if (entries.has_value() && entries->empty()) {
-    return;
-  }
-  LinkMessage news = SnapshotDelivery{};
-  if (entries.has_value()) {
-    news = EntriesDelivery{ *std::move(entries) };
-  } else {
-    news = SnapshotDelivery{ *releases_->Current(), releases_->CurrentHash() };
-  }
+  LinkMessage news = NewsAfter(before);
   std::vector<const Member*> targets =
-    PushTargets(membership_->Table(), membership_->Self(), context_.settings.store.region);
+    PushTargets(membership_->Table(), membership_->Self(), KnownStoreRegion());
   for (const Member* target : targets) {
     if (target->version < version) {
       links_->Send(links_->Open(Reach(*target), Lane::Control), news);
@@ -156,6 +158,19 @@
   }
 }
 
+LinkMessage SpreadingService::NewsAfter(Version aVersion) const
+{
+  auto entries = releases_->EntriesAfter(aVersion);
+  if (entries.has_value()) {
+    return EntriesDelivery{ *std::move(entries) };
+  }
+  auto deltas = releases_->DeltasAfter(aVersion);
+  if (deltas.has_value()) {
+    return DeltasDelivery{ *std::move(deltas) };
+  }
+  return SnapshotDelivery{ *releases_->Current(), releases_->CurrentHash() };
+}
+
 void SpreadingService::HandOver(const Entry& aEntry)
 {
   for (const Member* target : HandOverTargets(membership_->Table(), membership_->Self())) {
@@ -224,7 +239,7 @@
   }
   nextPoll_ = aNow + kStorePollPeriod + milliseconds(static_cast<int64_t>(random_() % 1000));
   const Member& self = membership_->Self();
-  bool isInStoreRegion = self.region == context_.settings.store.region;
+  bool isInStoreRegion = self.region == KnownStoreRegion();
   bool isCutOff = aNow - lastStoreRegionContact_ > kStoreRegionSilence;
   // The watch is only faster: a watch that has gone silent must not hide a new version.
   if (isInStoreRegion || isCutOff) {
@@ -242,6 +257,12 @@
                    catchUp_.OnVersionRequired(aDelivery.entries.back().version);
                  }
                },
+               [&](const DeltasDelivery& aDelivery) {
+                 absl::Status status = releases_->Offer(aDelivery.deltas);
+                 if (!status.ok() && !aDelivery.deltas.empty()) {
+                   catchUp_.OnVersionRequired(aDelivery.deltas.back().version);
+                 }
+               },
                [&](const SnapshotDelivery& aDelivery) {
                  (void)releases_->OfferSnapshot(aDelivery.configuration, aDelivery.hash);
                },
@@ -273,11 +294,8 @@
 
 void SpreadingService::OnPull(LinkId aLink, const PullEntries& aPull)
 {
-  auto entries = releases_->EntriesAfter(aPull.after);
-  if (!entries.has_value()) {
-    links_->Send(aLink, SnapshotDelivery{ *releases_->Current(), releases_->CurrentHash() });
-  } else if (!entries->empty()) {
-    links_->Send(aLink, EntriesDelivery{ *std::move(entries) });
+  if (aPull.after < releases_->Current()->version) {
+    links_->Send(aLink, NewsAfter(aPull.after));
   }
 }
 
@@ -407,7 +425,7 @@
 bool SpreadingService::IsFirstRelayOfStoreRegion() const
 {
   const Member& self = membership_->Self();
-  if (self.region != context_.settings.store.region) {
+  if (self.region != KnownStoreRegion()) {
     return false;
   }
   std::vector<const Member*> ranked = membership_->Table().RankedInRegion(self.region);
--- a/src/dandeliond/SpreadingService.h
+++ b/src/dandeliond/SpreadingService.h
@@ -49,7 +49,10 @@
   void FollowWhereNeeded(TimePoint aNow);
   /// Whether this mesh counts where a version is in force.
   bool KeepsProgress() const;
+  std::string KnownStoreRegion() const;
   void Push();
+  /// The shortest message that leads from a version to the current one.
+  LinkMessage NewsAfter(Version aVersion) const;
   void CatchUpNow();
   void ReadStore();
   void OnStoreRead(const absl::Status& aStatus);
--- a/src/dandeliond/StoredConfigurationService.cpp
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -6,6 +6,7 @@
 
 /// A store that is away is asked again this often by each node that watches it.
 constexpr Duration kWatchRetry = milliseconds(500);
+constexpr Duration kSlowRetry = seconds(2);
 
 } // namespace
 
@@ -22,6 +23,7 @@
 {
   store_ = &context_.registry.Find<Store>(ServiceName::Store);
   releases_ = &context_.registry.Find<Releases>(ServiceName::Releases);
+  membership_ = &context_.registry.Find<Membership>(ServiceName::Membership);
   return absl::OkStatus();
 }
 
@@ -29,7 +31,8 @@
 {
   ReadRequest request;
   request.key = key_;
-  store_->Read(request, [this, done = std::move(aDone)](const absl::StatusOr<ReadResult>& aResult) {
+  TimePoint askedAt = context_.loop.Now();
+  store_->Read(request, [this, askedAt, done = std::move(aDone)](const absl::StatusOr<ReadResult>& aResult) {
     if (aResult.ok() != isReachable_) {
       isReachable_ = aResult.ok();
       Log(LogPart::Store,
@@ -37,6 +40,12 @@
           "The store is {}: {}.",
           isReachable_ ? "back" : "lost",
           isReachable_ ? "it answers" : Reason(aResult.status()));
+      if (!isReachable_) {
+        membership_->OnStoreLost();
+      }
+    }
+    if (aResult.ok()) {
+      membership_->OnStoreAnswered(askedAt);
     }
     if (!aResult.ok()) {
       done(aResult.status());
@@ -97,7 +106,10 @@
 void StoredConfigurationService::Unfollow()
 {
   isFollowing_ = false;
-  retry_.Cancel();
+  if (isReachable_) {
+    // Otherwise the store is asked on until it answers, so that others know that it does.
+    retry_.Cancel();
+  }
   if (watch_.has_value()) {
     store_->CancelWatch(*watch_);
     watch_.reset();
@@ -112,13 +124,13 @@
   isReading_ = true;
   Synchronize([this](const absl::Status& aStatus) {
     isReading_ = false;
-    if (!isFollowing_ || watch_.has_value()) {
-      return;
-    }
     if (!aStatus.ok() && KindOf(aStatus) == ErrorKind::StoreUnavailable) {
       RetryWatch();
       return;
     }
+    if (!isFollowing_ || watch_.has_value()) {
+      return;
+    }
     auto onEvents = [this](const std::vector<KeyValue>& aItems) {
       // Only the newest one matters; those between were never in force here.
       if (!aItems.empty()) {
@@ -135,7 +147,8 @@
 
 void StoredConfigurationService::RetryWatch()
 {
-  retry_ = context_.loop.After(kWatchRetry, [this] { StartWatch(); });
+  Duration delay = isFollowing_ ? kWatchRetry : kSlowRetry;
+  retry_ = context_.loop.After(delay, [this] { StartWatch(); });
 }
 
 } // namespace dandelion
--- a/src/dandeliond/StoredConfigurationService.h
+++ b/src/dandeliond/StoredConfigurationService.h
@@ -38,6 +38,7 @@
   Reader reader_;
   Store* store_ = nullptr;
   Releases* releases_ = nullptr;
+  Membership* membership_ = nullptr;
   int64_t revision_ = 0;
   bool isFollowing_ = false;
   bool isReading_ = false;
--- a/src/dandeliond/main.cpp
+++ b/src/dandeliond/main.cpp
@@ -48,6 +48,7 @@
   Node node(loop, *settings, FreshIncarnation(), std::random_device()());
   loop.OnSignal(SIGTERM, [&] { node.BeginStop(); });
   loop.OnSignal(SIGINT, [&] { node.BeginStop(); });
+  loop.OnSignal(SIGHUP, [&] { node.Reload(LoadNodeSettings(absl::GetFlag(FLAGS_settings))); });
   absl::Status status = node.Start();
   if (!status.ok()) {
     return Fail(status);
--- a/src/membership/Member.h
+++ b/src/membership/Member.h
@@ -77,6 +77,11 @@
   uint64_t version = 0;
   /// Calls that the upstream runs at a time, as far as its node knows; 0 while it takes no work.
   int64_t slots = 1;
+  /// What the node's machine can carry beside its upstream, against others; the strongest members
+  /// of a zone act for it.
+  int64_t strength = 0;
+  /// Time that the store's answers take to this node; 0 where it has had none.
+  int64_t storeTimeMs = 0;
 };
 
 template<class Visitor>
@@ -99,6 +104,8 @@
   aVisitor.Field("state", aMember.state);
   aVisitor.Field("version", aMember.version);
   aVisitor.Field("slots", aMember.slots);
+  aVisitor.Field("strength", aMember.strength);
+  aVisitor.Field("store_time_ms", aMember.storeTimeMs);
 }
 
 /// Where a node of `aRegion` reaches the member.
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace dandelion {
 
@@ -139,17 +140,25 @@
                                                const Filter& aBelongs) const
 {
   uint64_t scope = HashBytes(aScope);
-  std::vector<std::pair<uint64_t, const Member*>> ranks;
+  struct Rank
+  {
+    int64_t weakness;
+    uint64_t hash;
+    const Member* member;
+  };
+  std::vector<Rank> ranks;
   for (const auto& [id, member] : members_) {
     if (IsPresent(member) && aBelongs(member)) {
-      ranks.emplace_back(HashBytes(id, scope), &member);
+      ranks.push_back(Rank{ -member.strength, HashBytes(id, scope), &member });
     }
   }
-  std::sort(ranks.begin(), ranks.end());
+  std::sort(ranks.begin(), ranks.end(), [](const Rank& aA, const Rank& aB) {
+    return std::tie(aA.weakness, aA.hash) < std::tie(aB.weakness, aB.hash);
+  });
   std::vector<const Member*> ranked;
   ranked.reserve(ranks.size());
-  for (const auto& [rank, member] : ranks) {
-    ranked.push_back(member);
+  for (const Rank& rank : ranks) {
+    ranked.push_back(rank.member);
   }
   return ranked;
 }
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -41,7 +41,7 @@
   /// Members of a zone that are not gone.
   std::vector<const Member*> InZone(const std::string& aZone) const;
 
-  /// Members that may act as relays for a zone or region, best rank first. All nodes with the
+  /// Members that may act as relays for a zone or region, the strongest first. All nodes with the
   /// same table agree on the order, and it stays the same for the others when one goes.
   std::vector<const Member*> RankedInZone(const std::string& aZone) const;
   std::vector<const Member*> RankedInRegion(const std::string& aRegion) const;
--- a/src/membership/Prober.cpp
+++ b/src/membership/Prober.cpp
@@ -129,16 +129,31 @@
 
 ProberEffects Prober::SetSlots(int64_t aSlots, TimePoint aNow)
 {
-  ProberEffects effects;
   Member self = Self();
   if (self.slots == aSlots) {
-    return effects;
+    return {};
   }
   self.slots = aSlots;
+  return ReplaceSelf(std::move(self), aNow);
+}
+
+ProberEffects Prober::SetStoreTime(int64_t aMilliseconds, TimePoint aNow)
+{
+  Member self = Self();
+  if (self.storeTimeMs == aMilliseconds) {
+    return {};
+  }
+  self.storeTimeMs = aMilliseconds;
+  return ReplaceSelf(std::move(self), aNow);
+}
+
+ProberEffects Prober::ReplaceSelf(Member aSelf, TimePoint aNow)
+{
+  ProberEffects effects;
   // Records of one incarnation differ in their state only, so this is a new one.
-  ++self.incarnation;
-  table_.Merge(self);
-  Announce(self);
+  ++aSelf.incarnation;
+  table_.Merge(aSelf);
+  Announce(aSelf);
   effects.push_back(MembersChanged{});
   TellZone(effects, aNow);
   TellOtherZones(effects, aNow);
--- a/src/membership/Prober.h
+++ b/src/membership/Prober.h
@@ -66,6 +66,8 @@
   ProberEffects Leave(MemberState aState, TimePoint aNow);
   /// The upstream beside this node runs so many calls at a time from now on; 0 while it takes none.
   ProberEffects SetSlots(int64_t aSlots, TimePoint aNow);
+  /// The store's answers take so long; 0 while it does not answer this node.
+  ProberEffects SetStoreTime(int64_t aMilliseconds, TimePoint aNow);
   /// Shows the node's new version at once to the zone and to the relays of the other zones.
   ProberEffects ShowVersion(TimePoint aNow);
   /// The store has answered a request that was sent at this time: the node is not cut off.
@@ -138,6 +140,7 @@
   void AskOthers(ProberEffects& aEffects, uint64_t aSequence, const Probe& aProbe);
   void Suspect(ProberEffects& aEffects, const std::string& aTarget, TimePoint aNow);
   void ExpireMembers(ProberEffects& aEffects, TimePoint aNow);
+  ProberEffects ReplaceSelf(Member aSelf, TimePoint aNow);
   void ProbeGone(ProberEffects& aEffects, TimePoint aNow);
   void TellZone(ProberEffects& aEffects, TimePoint aNow);
   void TellOtherZones(ProberEffects& aEffects, TimePoint aNow);
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// A watch is asked anew this often, so that a connection that went silent hides nothing for long.
-constexpr Duration kWatchTime = seconds(3);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kConditionFailed = 412;
@@ -92,10 +90,12 @@
 
 } // namespace
 
-KeyValueStore::KeyValueStore(Loop& aLoop, Endpoint aServer, Duration aTimeLimit)
-  : client_(aLoop)
+KeyValueStore::KeyValueStore(Loop& aLoop, Endpoint aServer, Duration aTimeLimit, WatchPace aPace)
+  : loop_(aLoop)
+  , client_(aLoop)
   , server_(std::move(aServer))
   , timeLimit_(aTimeLimit)
+  , pace_(aPace)
 {
 }
 
@@ -299,7 +299,7 @@
 {
   WatchId id = nextWatch_++;
   watches_[id] =
-    WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0 };
+    WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0, {} };
   WatchOn(id);
   return id;
 }
@@ -310,11 +310,11 @@
   std::string target = fmt::format("/v1/kv-watch?path-prefix={}&after={}&wait-ms={}",
                                    QueryText(watch.prefix),
                                    watch.revision,
-                                   ToMilliseconds(kWatchTime));
+                                   ToMilliseconds(pace_.renewal));
   watch.request = Call("GET",
                        target,
                        "",
-                       kWatchTime + timeLimit_,
+                       pace_.renewal + timeLimit_,
                        [this, aId](const absl::StatusOr<Reply>& aReply) {
                          OnWatchReply(aId, aReply);
                        });
@@ -342,8 +342,14 @@
     OnEvents onEvents = found->second.onEvents;
     onEvents(items);
   }
-  if (watches_.count(aId) > 0) {
+  found = watches_.find(aId);
+  if (found == watches_.end()) {
+    return;
+  }
+  if (items.empty()) {
     WatchOn(aId);
+  } else {
+    found->second.pause = loop_.After(pace_.pause, [this, aId] { WatchOn(aId); });
   }
 }
 
--- a/src/platform/KeyValueStore.h
+++ b/src/platform/KeyValueStore.h
@@ -7,12 +7,21 @@
 
 namespace dandelion::platform {
 
+/// How a watch is kept up.
+struct WatchPace
+{
+  /// A waiting call is renewed this often, so that a silent connection hides nothing for longer.
+  Duration renewal = seconds(5);
+  /// Changes in quick succession are fetched together after this pause.
+  Duration pause = milliseconds(300);
+};
+
 class KeyValueStore
   : public Service
   , public Store
 {
 public:
-  KeyValueStore(Loop& aLoop, Endpoint aServer, Duration aTimeLimit);
+  KeyValueStore(Loop& aLoop, Endpoint aServer, Duration aTimeLimit, WatchPace aPace = WatchPace());
 
   void Read(const ReadRequest& aRequest, OnRead aDone) override;
   void Create(const CreateRequest& aRequest, OnCreated aDone) override;
@@ -42,6 +51,7 @@
     OnEvents onEvents;
     std::function<void()> onEnd;
     HttpClient::RequestId request = 0;
+    Timer pause;
   };
 
   HttpClient::RequestId Call(const std::string& aMethod,
@@ -59,9 +69,11 @@
   void WatchOn(WatchId aId);
   void OnWatchReply(WatchId aId, const absl::StatusOr<Reply>& aReply);
 
+  Loop& loop_;
   HttpClient client_;
   Endpoint server_;
   Duration timeLimit_;
+  WatchPace pace_;
   uint64_t calls_ = 0;
   WatchId nextWatch_ = 1;
   std::map<WatchId, WatchState> watches_;
--- a/src/platform/OperatorConfiguration.cpp
+++ b/src/platform/OperatorConfiguration.cpp
@@ -191,11 +191,12 @@
                                aRoute.prefix));
 }
 
+/// A whole configuration does not tell when an object changed, so that stays 0.
 template<class Spec>
-absl::Status Insert(HeldMap<Spec>& aMap, Spec aSpec, Version aVersion)
+absl::Status Insert(HeldMap<Spec>& aMap, Spec aSpec)
 {
   std::string name = aSpec.name;
-  if (!aMap.emplace(name, Held<Spec>{ std::move(aSpec), aVersion }).second) {
+  if (!aMap.emplace(name, Held<Spec>{ std::move(aSpec), 0 }).second) {
     return MakeError(ErrorKind::AlreadyExists,
                      fmt::format("\"{}\" stands twice in the configuration; keep one", name));
   }
@@ -210,7 +211,7 @@
     ServiceSpec spec;
     spec.name = service.name;
     spec.healthPath = service.healthPath;
-    absl::Status status = Insert(configuration.services, spec, configuration.version);
+    absl::Status status = Insert(configuration.services, spec);
     if (!status.ok()) {
       return status;
     }
@@ -221,12 +222,11 @@
       return status;
     }
     PolicySpec policy = ToPolicy(route);
-    status = Insert(configuration.routes, ToRoute(route, policy.name), configuration.version);
+    status = Insert(configuration.routes, ToRoute(route, policy.name));
     if (!status.ok()) {
       return status;
     }
-    configuration.policies.emplace(policy.name,
-                                   Held<PolicySpec>{ policy, configuration.version });
+    configuration.policies.emplace(policy.name, Held<PolicySpec>{ policy, 0 });
   }
   configuration.limits = CallerLimits{ aFields.limits.headerBytes,
                                        aFields.limits.bodyBytes,
--- /dev/null
+++ b/src/release/ConfigurationDelta.cpp
@@ -0,0 +1,84 @@
+#include "release/ConfigurationDelta.h"
+
+namespace dandelion {
+
+namespace {
+
+template<class Spec>
+void Compare(const HeldMap<Spec>& aParent,
+             const HeldMap<Spec>& aResult,
+             std::vector<Held<Spec>>& aChanged,
+             std::vector<std::string>& aRemoved)
+{
+  for (const auto& [name, held] : aResult) {
+    auto before = aParent.find(name);
+    if (before == aParent.end() || HashOf(before->second) != HashOf(held)) {
+      aChanged.push_back(held);
+    }
+  }
+  for (const auto& [name, held] : aParent) {
+    if (aResult.count(name) == 0) {
+      aRemoved.push_back(name);
+    }
+  }
+}
+
+template<class Spec>
+void Change(HeldMap<Spec>& aMap,
+            const std::vector<Held<Spec>>& aChanged,
+            const std::vector<std::string>& aRemoved)
+{
+  for (const std::string& name : aRemoved) {
+    aMap.erase(name);
+  }
+  for (const Held<Spec>& held : aChanged) {
+    aMap[held.spec.name] = held;
+  }
+}
+
+} // namespace
+
+ConfigurationDelta MakeDelta(const Configuration& aParent,
+                             const std::string& aParentHash,
+                             const Configuration& aResult,
+                             const std::string& aResultHash)
+{
+  ConfigurationDelta delta;
+  delta.parent = aParent.version;
+  delta.parentHash = aParentHash;
+  delta.version = aResult.version;
+  delta.resultHash = aResultHash;
+  delta.limits = aResult.limits;
+  Compare(aParent.services, aResult.services, delta.services, delta.removed.services);
+  Compare(aParent.policies, aResult.policies, delta.policies, delta.removed.policies);
+  Compare(aParent.routes, aResult.routes, delta.routes, delta.removed.routes);
+  return delta;
+}
+
+absl::StatusOr<Configuration> ApplyDelta(const Configuration& aParent,
+                                         const std::string& aParentHash,
+                                         const ConfigurationDelta& aDelta)
+{
+  if (aDelta.parent != aParent.version) {
+    return MakeError(ErrorKind::VersionGap,
+                     fmt::format("version {} was made from version {}, not {}; fetch those between",
+                                 aDelta.version,
+                                 aDelta.parent,
+                                 aParent.version));
+  }
+  if (aDelta.parentHash != aParentHash) {
+    return MakeError(ErrorKind::WrongHash,
+                     fmt::format("version {} was made from another content of version {}",
+                                 aDelta.version,
+                                 aDelta.parent));
+  }
+  Configuration result = aParent;
+  result.version = aDelta.version;
+  result.limits = aDelta.limits;
+  Change(result.services, aDelta.services, aDelta.removed.services);
+  Change(result.policies, aDelta.policies, aDelta.removed.policies);
+  Change(result.routes, aDelta.routes, aDelta.removed.routes);
+  return result;
+}
+
+} // namespace dandelion
--- a/src/release/Release.h
+++ b/src/release/Release.h
@@ -5,6 +5,7 @@
 
 #include "release/Apply.h"
 #include "release/Configuration.h"
+#include "release/ConfigurationDelta.h"
 #include "release/Note.h"
 #include "release/Objects.h"
 #include "release/Replica.h"
--- a/src/release/Replica.cpp
+++ b/src/release/Replica.cpp
@@ -61,6 +61,42 @@
 }
 
 absl::Status Replica::ApplySnapshot(Configuration aConfiguration, const std::string& aHash)
+{
+  ConfigurationPtr before = current_;
+  std::string beforeHash = currentHash_;
+  absl::Status status = TakeWhole(std::move(aConfiguration), aHash);
+  if (!status.ok()) {
+    return status;
+  }
+  // The tail must be without gaps up to the current version, so it starts anew.
+  tail_.clear();
+  bool isOfNotes = !before->notes.empty() || !current_->notes.empty();
+  if (before->version == 0 || isOfNotes) {
+    deltas_.clear();
+  } else {
+    Remember(MakeDelta(*before, beforeHash, *current_, currentHash_));
+  }
+  return absl::OkStatus();
+}
+
+absl::Status Replica::TakeDelta(const ConfigurationDelta& aDelta)
+{
+  if (aDelta.version <= current_->version) {
+    return OlderVersion(aDelta.version, current_->version);
+  }
+  auto result = ApplyDelta(*current_, currentHash_, aDelta);
+  if (!result.ok()) {
+    return result.status();
+  }
+  absl::Status status = TakeWhole(*std::move(result), aDelta.resultHash);
+  if (status.ok()) {
+    tail_.clear();
+    Remember(aDelta);
+  }
+  return status;
+}
+
+absl::Status Replica::TakeWhole(Configuration aConfiguration, const std::string& aHash)
 {
   if (aConfiguration.version <= current_->version) {
     return OlderVersion(aConfiguration.version, current_->version);
@@ -78,11 +114,34 @@
   }
   current_ = std::make_shared<Configuration>(std::move(aConfiguration));
   currentHash_ = std::move(hash);
-  // The tail must be without gaps up to the current version, so it starts anew.
-  tail_.clear();
   return absl::OkStatus();
 }
 
+void Replica::Remember(ConfigurationDelta aDelta)
+{
+  deltas_.push_back(std::move(aDelta));
+  size_t objects = 0;
+  for (const ConfigurationDelta& delta : deltas_) {
+    objects += delta.routes.size();
+  }
+  while (deltas_.size() > kTailDeltas || (objects > kMostDeltaObjects && deltas_.size() > 1)) {
+    objects -= deltas_.front().routes.size();
+    deltas_.pop_front();
+  }
+}
+
+std::optional<std::vector<ConfigurationDelta>> Replica::DeltasAfter(Version aVersion) const
+{
+  std::vector<ConfigurationDelta> deltas;
+  for (const ConfigurationDelta& delta : deltas_) {
+    if (delta.parent == aVersion || !deltas.empty()) {
+      deltas.push_back(delta);
+    }
+  }
+  bool isCurrent = aVersion >= current_->version;
+  return deltas.empty() && !isCurrent ? std::nullopt : std::optional(std::move(deltas));
+}
+
 std::optional<std::vector<Entry>> Replica::EntriesAfter(Version aVersion) const
 {
   std::vector<Entry> entries;
--- a/src/release/Replica.h
+++ b/src/release/Replica.h
@@ -2,7 +2,7 @@
 #ifndef DANDELION_RELEASE_REPLICA_H
 #define DANDELION_RELEASE_REPLICA_H
 
-#include "release/Configuration.h"
+#include "release/ConfigurationDelta.h"
 
 #include <deque>
 #include <optional>
@@ -12,6 +12,9 @@
 
 /// Newest entries that a node keeps, to hand them to nodes that are a little behind.
 constexpr size_t kTailEntries = 128;
+/// Newest deltas kept for the same purpose, and the objects that they may hold together.
+constexpr size_t kTailDeltas = 32;
+constexpr size_t kMostDeltaObjects = 2000;
 
 class Replica
 {
@@ -32,14 +35,25 @@
   /// Takes a whole configuration of a higher version, after checking it and its hash.
   absl::Status ApplySnapshot(Configuration aConfiguration, const std::string& aHash);
 
+  /// Takes what turns the current version into a later one. Errors as of `ApplyEntry`.
+  absl::Status TakeDelta(const ConfigurationDelta& aDelta);
+
+  /// Deltas that lead from `aVersion` to the current version, or nothing where it is not known how.
+  std::optional<std::vector<ConfigurationDelta>> DeltasAfter(Version aVersion) const;
+
   /// The entries after `aVersion` up to the current version, or nothing where the tail does not
   /// reach back that far.
   std::optional<std::vector<Entry>> EntriesAfter(Version aVersion) const;
 
 private:
+  absl::Status TakeWhole(Configuration aConfiguration, const std::string& aHash);
+  void Remember(ConfigurationDelta aDelta);
+
   ConfigurationPtr current_;
   std::string currentHash_;
   std::deque<Entry> tail_;
+  /// Newest deltas, each from the version of the one before.
+  std::deque<ConfigurationDelta> deltas_;
 };
 
 } // namespace dandelion
--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -36,6 +36,8 @@
 /// a kind.
 constexpr double kFailureShare = 0.2;
 constexpr double kKindShare = 0.05;
+/// Share of one answer in the smoothed time on the way.
+constexpr double kWayShare = 0.3;
 /// Evidence that an upstream is slower than others halves in this time without a new answer.
 constexpr Duration kSlownessHalfLife = seconds(2);
 /// Differences below this are left to chance.
@@ -108,7 +110,11 @@
     auto found = seen_.find(member->id);
     const Seen* seen = found == seen_.end() ? nullptr : &found->second;
     Duration work = ExpectedWork(seen, aQuery.kind, aNow);
-    Duration finish = work + Distance(*member, aSelf);
+    Duration way = Distance(*member, aSelf);
+    if (seen != nullptr) {
+      way = std::max(way, ExpectedWay(*seen, aQuery.kind, aNow));
+    }
+    Duration finish = work + way;
     double failures = 0;
     if (seen != nullptr) {
       finish += ExpectedWait(*seen, work, aNow);
@@ -138,6 +144,18 @@
   return wait + aWork * behind / slots;
 }
 
+Duration UpstreamChoice::ExpectedWay(const Seen& aSeen,
+                                     const std::string& aKind,
+                                     TimePoint aNow) const
+{
+  auto known = aSeen.way.find(aKind);
+  if (known == aSeen.way.end()) {
+    return Duration::zero();
+  }
+  double weight = std::exp2(-HalfLives(aNow - aSeen.gateAt, kSlownessHalfLife));
+  return Duration(static_cast<int64_t>(weight * static_cast<double>(known->second.count())));
+}
+
 Duration UpstreamChoice::ExpectedWork(const Seen* aSeen,
                                       const std::string& aKind,
                                       TimePoint aNow) const
@@ -220,6 +238,10 @@
   aSeen.gateAt = aNow;
   aSeen.begunSince = 0;
   aSeen.work[aEvidence.kind] = aEvidence.gate->work;
+  if (aEvidence.way.has_value()) {
+    Duration& way = aSeen.way[aEvidence.kind];
+    way += Duration(static_cast<int64_t>(kWayShare * static_cast<double>((*aEvidence.way - way).count())));
+  }
   KindSeen& kind = kinds_[aEvidence.kind];
   bool isFirst = kind.work == Duration::zero();
   double share = isFirst ? 1 : kKindShare;
--- a/src/routing/UpstreamChoice.h
+++ b/src/routing/UpstreamChoice.h
@@ -80,6 +80,8 @@
   /// What the gate beside the upstream expects of a further call of this kind, where it has said.
   std::optional<GateEvidence> gate = {};
   std::string kind = {};
+  /// Time that the call and its answer were on their way, where the gate has told its part.
+  std::optional<Duration> way = {};
   /// Bytes of the answer; 0 where there was none.
   size_t answerBytes = 0;
 };
@@ -123,6 +125,8 @@
     int64_t begunSince = 0;
     /// Work of each kind there.
     std::map<std::string, Duration> work;
+    /// Time on the way there and back, by kind: large answers take long over a weak link.
+    std::map<std::string, Duration> way;
     /// Share of its attempts that failed of late.
     double failures = 0;
     TimePoint failuresAt;
@@ -141,6 +145,7 @@
   int64_t Load(const Member& aMember) const;
   double ExpectedTime(const Member& aMember, TimePoint aNow) const;
   Duration ExpectedWait(const Seen& aSeen, Duration aWork, TimePoint aNow) const;
+  Duration ExpectedWay(const Seen& aSeen, const std::string& aKind, TimePoint aNow) const;
   Duration ExpectedWork(const Seen* aSeen, const std::string& aKind, TimePoint aNow) const;
   /// Time that the way to a member takes, and what its bytes are worth in time.
   Duration Distance(const Member& aMember, const Member& aSelf) const;
--- a/src/spread/Overlay.cpp
+++ b/src/spread/Overlay.cpp
@@ -66,6 +66,21 @@
 
 } // namespace
 
+std::string StoreRegion(const MemberTable& aTable, const std::string& aKnown)
+{
+  if (!aKnown.empty()) {
+    return aKnown;
+  }
+  const Member* nearest = nullptr;
+  for (const auto& [id, member] : aTable.All()) {
+    bool isNearer = nearest == nullptr || member.storeTimeMs < nearest->storeTimeMs;
+    if (IsPresent(member) && member.storeTimeMs > 0 && isNearer) {
+      nearest = &member;
+    }
+  }
+  return nearest == nullptr ? "" : nearest->region;
+}
+
 std::vector<const Member*> RelaysOfZone(const MemberTable& aTable, const std::string& aZone)
 {
   return FirstRelays(aTable.RankedInZone(aZone));
@@ -76,6 +91,19 @@
   return FirstRelays(aTable.RankedInRegion(aRegion));
 }
 
+std::vector<const Member*> WatchersOfZone(const MemberTable& aTable, const std::string& aZone)
+{
+  std::vector<const Member*> candidates = aTable.RankedInZone(aZone);
+  candidates.resize(std::min(candidates.size(), kWatchCandidates));
+  std::vector<const Member*> reaching;
+  for (const Member* member : candidates) {
+    if (member->storeTimeMs > 0) {
+      reaching.push_back(member);
+    }
+  }
+  return FirstRelays(reaching.empty() ? candidates : reaching);
+}
+
 bool Contains(const std::vector<const Member*>& aMembers, const std::string& aId)
 {
   auto hasId = [&](const Member* aMember) { return aMember->id == aId; };
@@ -117,7 +145,7 @@
 bool WatchesStore(const MemberTable& aTable, const Member& aSelf, const std::string& aStoreRegion)
 {
   bool mayWatch = aStoreRegion.empty() || aSelf.region == aStoreRegion;
-  return mayWatch && Contains(RelaysOfZone(aTable, aSelf.zone), aSelf.id);
+  return mayWatch && Contains(WatchersOfZone(aTable, aSelf.zone), aSelf.id);
 }
 
 } // namespace dandelion
--- a/src/spread/Overlay.h
+++ b/src/spread/Overlay.h
@@ -13,12 +13,21 @@
 constexpr size_t kPushFanout = 8;
 /// The best-ranked members of a zone or region that act for it: the relay and its deputy.
 constexpr size_t kRelays = 2;
+constexpr size_t kWatchCandidates = 4;
+
+/// The region from which the store's answers come soonest; `aKnown` where that is set, empty where
+/// no member has had an answer.
+std::string StoreRegion(const MemberTable& aTable, const std::string& aKnown);
 
 /// The relay and the deputy of a zone, fewer where it has fewer members.
 std::vector<const Member*> RelaysOfZone(const MemberTable& aTable, const std::string& aZone);
 /// The relay and the deputy of a region.
 std::vector<const Member*> RelaysOfRegion(const MemberTable& aTable, const std::string& aRegion);
 
+/// Members of a zone that watch the store: its relays, or those after them where the store turns the
+/// relays away. Few can take their place, so that a store that is down is not asked by all.
+std::vector<const Member*> WatchersOfZone(const MemberTable& aTable, const std::string& aZone);
+
 bool Contains(const std::vector<const Member*>& aMembers, const std::string& aId);
 
 /// Members to which `aSelf` pushes a version that it has just put in force:
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -58,6 +58,12 @@
   std::string hash;
 };
 
+/// What leads from a version that the receiver holds to a later one.
+struct DeltasDelivery
+{
+  std::vector<ConfigurationDelta> deltas;
+};
+
 /// A joining node asks what its peer knows of its slot.
 struct JoinQuery
 {
@@ -135,6 +141,8 @@
   int64_t freeSlots = 0;
   int64_t waitUs = 0;
   int64_t workUs = 0;
+  /// Time that the call has spent beside the upstream; the rest of its time is the way.
+  int64_t elapsedUs = 0;
 };
 
 struct CancelCall
@@ -146,6 +154,7 @@
                                  PullEntries,
                                  EntriesDelivery,
                                  SnapshotDelivery,
+                                 DeltasDelivery,
                                  MemberDigests,
                                  MemberRecords,
                                  JoinQuery,
@@ -205,6 +214,12 @@
   aVisitor.Field("hash", aDelivery.hash);
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, DeltasDelivery& aDelivery)
+{
+  aVisitor.Field("deltas", aDelivery.deltas);
+}
+
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, JoinQuery& aQuery)
 {
@@ -271,6 +286,7 @@
   aVisitor.Field("free_slots", aReply.freeSlots);
   aVisitor.Field("wait_us", aReply.waitUs);
   aVisitor.Field("work_us", aReply.workUs);
+  aVisitor.Field("elapsed_us", aReply.elapsedUs);
 }
 
 template<class Visitor>
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -70,6 +70,14 @@
   {
     return absl::OkStatus();
   }
+  absl::Status Offer(const std::vector<ConfigurationDelta>& /* aDeltas */) override
+  {
+    return absl::OkStatus();
+  }
+  std::optional<std::vector<ConfigurationDelta>> DeltasAfter(Version /* aVersion */) const override
+  {
+    return std::nullopt;
+  }
   std::optional<std::vector<Entry>> EntriesAfter(Version /* aVersion */) const override
   {
     return std::nullopt;
@@ -139,6 +147,7 @@
   void Leave(MemberState /* aState */) override {}
   void MeetSeeds(const std::vector<Endpoint>& /* aSeeds */) override {}
   void OnStoreAnswered(TimePoint /* aAskedAt */) override {}
+  void OnStoreLost() override {}
   bool IsIsolated(TimePoint /* aNow */) const override { return false; }
 
 private:
