Stops answer what is left, withdrawn calls are refused at once, bulk stays near

Change: Calls::EndAll at the end of a stop, limited by the grace time; Withdrawn is a refusal that promises not run, and waiting calls are checked on each new version; gates count what waits on their link for large answers, and these stay in their region.

--- a/src/admission/GateEvents.h
+++ b/src/admission/GateEvents.h
@@ -64,6 +64,8 @@
   /// Until a slot is free for it, and in the slot.
   Duration wait = Duration::zero();
   Duration work = Duration::zero();
+  /// Until the answers that wait on the machine's link have left it.
+  Duration linkWait = Duration::zero();
 };
 
 } // namespace dandelion
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -8,6 +8,11 @@
 
 constexpr Duration kTickPeriod = milliseconds(50);
 constexpr int64_t kSlotsBeforeReport = 1;
+/// Answers of this size need a noticeable part of a weak machine's link (7 Mbit/s: 18 ms).
+constexpr double kBulkBytes = 16 * 1024;
+constexpr double kSizeShare = 0.1;
+/// Bits over Mbit/s are microseconds.
+constexpr double kBitsPerByte = 8;
 
 /// The configuration no longer leads the call here.
 bool IsWithdrawn(const Configuration& aConfiguration, const OpenCall& aCall)
@@ -44,6 +49,7 @@
   membership_ = &registry.Find<Membership>(ServiceName::Membership);
   metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
   links_->AddHandler(*this);
+  releases_->AddListener([this] { RefuseWithdrawn(); });
   upstreamState_ = &registry.Find<UpstreamState>(ServiceName::UpstreamState);
   upstreamState_->AddListener([this] { FollowUpstream(); });
   FollowUpstream();
@@ -67,10 +73,14 @@
     Refuse(ticket, *obstacle);
   } else {
     TimePoint target = aCall.targetMs > 0 ? now + milliseconds(aCall.targetMs) : deadline;
-    Carry(gate_.On(
-      CallArrived{
-        ticket, aCall.trafficClass, deadline, target, aCall.priority, aCall.policy },
-      now));
+    if (IsBulk(aCall.policy)) {
+      // The answer must get past those that wait for the link already.
+      target -= LinkWait() + SendTime(aCall.policy);
+    }
+    CallArrived arrived{
+      ticket, aCall.trafficClass, deadline, target, aCall.priority, aCall.policy
+    };
+    Carry(gate_.On(arrived, now));
   }
   return ticket;
 }
@@ -139,6 +149,11 @@
   reply.status = aResult.status;
   reply.headers = aResult.headers;
   reply.body.data = aResult.body;
+  if (aResult.outcome == CallOutcome::Ran && served != served_.end()) {
+    double size = static_cast<double>(aResult.body.size());
+    auto [known, isNew] = answerBytes_.emplace(served->second.call.policy, size);
+    known->second += isNew ? 0 : kSizeShare * (size - known->second);
+  }
   reply.hasReachedUpstream = aResult.hasReached;
   if (aResult.outcome == CallOutcome::NotRun) {
     reply.error = ErrorKind::Overloaded;
@@ -188,6 +203,7 @@
   aReply.freeSlots = evidence.freeSlots;
   aReply.waitUs = evidence.wait.count();
   aReply.workUs = evidence.work.count();
+  aReply.linkWaitUs = LinkWait().count();
   aReply.elapsedUs = (context_.loop.Now() - found->second.arrivedAt).count();
   OnReply reply = std::move(found->second.reply);
   served_.erase(found);
@@ -297,6 +313,43 @@
   gate_.Open();
 }
 
+void AdmissionService::RefuseWithdrawn()
+{
+  std::vector<std::pair<Ticket, ErrorKind>> obstructed;
+  for (const auto& [ticket, served] : served_) {
+    std::optional<ErrorKind> obstacle;
+    if (!served.request.has_value()) {
+      obstacle = FindObstacle(served.call);
+    }
+    if (obstacle.has_value()) {
+      obstructed.emplace_back(ticket, *obstacle);
+    }
+  }
+  for (const auto& [ticket, obstacle] : obstructed) {
+    Carry(gate_.On(CallCancelled{ ticket }, context_.loop.Now()));
+    Refuse(ticket, obstacle);
+  }
+}
+
+bool AdmissionService::IsBulk(const WorkKind& aKind) const
+{
+  auto size = answerBytes_.find(aKind);
+  return size != answerBytes_.end() && size->second >= kBulkBytes;
+}
+
+Duration AdmissionService::LinkWait() const
+{
+  double bits = static_cast<double>(links_->BytesWaiting()) * kBitsPerByte;
+  return Duration(static_cast<int64_t>(bits / context_.settings.machine.linkMbps));
+}
+
+Duration AdmissionService::SendTime(const WorkKind& aKind) const
+{
+  auto size = answerBytes_.find(aKind);
+  double bits = size == answerBytes_.end() ? 0 : size->second * kBitsPerByte;
+  return Duration(static_cast<int64_t>(bits / context_.settings.machine.linkMbps));
+}
+
 void AdmissionService::LogEnd(const Served& aServed, const UpstreamResult& aResult) const
 {
   Log(LogPart::Admission,
--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -48,6 +48,13 @@
   void Tick();
   std::optional<ErrorKind> FindObstacle(const OpenCall& aCall) const;
   void FollowUpstream();
+  /// Refuses what waits and is led elsewhere by a new version.
+  void RefuseWithdrawn();
+  /// Time that answers which wait on the links need to leave this machine.
+  Duration LinkWait() const;
+  /// Time that one answer of a kind needs on this machine's link.
+  Duration SendTime(const WorkKind& aKind) const;
+  bool IsBulk(const WorkKind& aKind) const;
 
   const NodeContext& context_;
   Gate gate_;
@@ -59,6 +66,8 @@
   Metrics* metrics_ = nullptr;
   Ticket nextTicket_ = 1;
   std::map<Ticket, Served> served_;
+  /// Smoothed size of answers, by kind.
+  std::map<WorkKind, double> answerBytes_;
   std::map<RemoteCall, Ticket> remote_;
   bool isDraining_ = false;
   std::function<void()> onDrained_;
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -158,6 +158,8 @@
   std::vector<std::string> services = ServicesOf(*route->route);
   if (std::find(services.begin(), services.end(), aCall.service) == services.end()) {
     aCall.service = splits_.Choose(*route->route);
+    // Upstreams of the former service have said nothing about this one.
+    aCall.tried.clear();
   }
   return true;
 }
@@ -382,7 +384,8 @@
                                   aReply.slots,
                                   aReply.freeSlots,
                                   Duration(aReply.waitUs),
-                                  Duration(aReply.workUs) };
+                                  Duration(aReply.workUs),
+                                  Duration(aReply.linkWaitUs) };
   }
   evidence.taken = now - found->second.sentAt;
   choice_.OnAttemptEnded(found->second.member, evidence, now);
@@ -439,6 +442,20 @@
   }
 }
 
+void CallsService::EndAll()
+{
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : calls_) {
+    ids.push_back(id);
+  }
+  for (CallId id : ids) {
+    auto found = calls_.find(id);
+    if (found != calls_.end()) {
+      OnDeadline(id);
+    }
+  }
+}
+
 void CallsService::DropAttempts(Call& aCall)
 {
   TimePoint now = context_.loop.Now();
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -23,6 +23,7 @@
 
   CallId Begin(CallerRequest aRequest, OnAnswer aDone) override;
   void Cancel(CallId aId) override;
+  void EndAll() override;
   size_t InProgress() const override { return calls_.size(); }
 
   void OnLinkMessage(LinkId aLink, const LinkMessage& aMessage) override;
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -21,6 +21,8 @@
 
 /// Others learn of the leave in this time, so that work they have sent already is still answered.
 constexpr Duration kLeaveNotice = seconds(1);
+/// A stop ends this long before the process would be killed: a busy machine runs its timers late.
+constexpr Duration kGraceMargin = milliseconds(700);
 constexpr Duration kIdleCheck = milliseconds(50);
 /// Lets the last answers and the news of the end leave the process.
 constexpr Duration kLastWords = milliseconds(100);
@@ -162,7 +164,11 @@
   TimePoint now = loop_.Now();
   // Callers are told where to go first; until they have gone, what they send is still served.
   earliestStop_ = now + std::max<Duration>(kLeaveNotice, milliseconds(settings_.stopNoticeMs));
-  stopDeadline_ = std::max(earliestStop_, now + milliseconds(settings_.drainMs));
+  Duration most = milliseconds(settings_.drainMs);
+  if (settings_.graceS > 0) {
+    most = std::min(most, Duration(static_cast<int64_t>(settings_.graceS * 1e6)) - kGraceMargin);
+  }
+  stopDeadline_ = std::max(earliestStop_, now + most);
   Log(LogPart::Kernel, LogLevel::Info, "{} is leaving and finishes its work.", settings_.id);
   if (settings_.readiness.has_value()) {
     registry_.Find<Readiness>(ServiceName::Readiness).BeginStop();
@@ -188,6 +194,8 @@
         "{} stops with {} calls in progress.",
         settings_.id,
         registry_.Find<Calls>(ServiceName::Calls).InProgress());
+    // An answer that says little is worth more to a caller than a connection that breaks.
+    registry_.Find<Calls>(ServiceName::Calls).EndAll();
     registry_.Find<Membership>(ServiceName::Membership).Leave(MemberState::Gone);
     timer_ = loop_.After(kLastWords, [this] { loop_.Stop(); });
     return;
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -106,6 +106,8 @@
   LanesName lanes = LanesName::ByClass;
   /// Longest time a planned stop waits for calls in progress.
   int64_t drainMs = 30000;
+  /// Time from the request to stop until the process is killed, in seconds; 0 where it is not.
+  double graceS = 0;
   /// How long a node that stops still takes callers' requests, until they have been sent elsewhere.
   int64_t stopNoticeMs = 0;
   EnvironmentName environment = EnvironmentName::Standalone;
@@ -169,6 +171,7 @@
   aVisitor.OptionalField("hedge", aSettings.hedge);
   aVisitor.OptionalField("lanes", aSettings.lanes);
   aVisitor.OptionalField("drain_ms", aSettings.drainMs, Between{ 0, 3600000 });
+  aVisitor.OptionalField("grace_s", aSettings.graceS);
   aVisitor.OptionalField("stop_notice_ms", aSettings.stopNoticeMs, Between{ 0, 3600000 });
   aVisitor.OptionalField("environment", aSettings.environment);
   aVisitor.OptionalField("readiness", aSettings.readiness);
--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -192,6 +192,12 @@
   }
   std::visit(Overloaded{
                [&](const PullFrom& aPull) {
+                 Log(LogPart::Spreading,
+                     LogLevel::Info,
+                     "Version {} is known, version {} is in force; {} is asked.",
+                     catchUp_.HighestSeen(),
+                     aPull.after,
+                     ToText(aPull.peer));
                  links_->Send(links_->Open(aPull.peer, Lane::Control), PullEntries{ aPull.after });
                },
                [&](const PullFromStore&) { ReadStore(); },
--- a/src/kernel/ErrorKind.cpp
+++ b/src/kernel/ErrorKind.cpp
@@ -29,7 +29,7 @@
   { ErrorKind::NotReady, 503, absl::StatusCode::kUnavailable, true, 7 },
   { ErrorKind::Fenced, 503, absl::StatusCode::kUnavailable, true, 7 },
   { ErrorKind::NoRoute, 404, absl::StatusCode::kNotFound, false, 5 },
-  { ErrorKind::Withdrawn, 404, absl::StatusCode::kNotFound, true, 5 },
+  { ErrorKind::Withdrawn, 503, absl::StatusCode::kUnavailable, true, 5 },
   { ErrorKind::NoUpstream, 503, absl::StatusCode::kUnavailable, true, 7 },
   { ErrorKind::Overloaded, 503, absl::StatusCode::kResourceExhausted, true, 7 },
   { ErrorKind::Leaving, 503, absl::StatusCode::kUnavailable, true, 7 },
--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -29,6 +29,8 @@
 /// the region: the paid links cost the users about what these delays cost them.
 constexpr Duration kZoneKilobyte = milliseconds(4);
 constexpr Duration kFarKilobyte = milliseconds(14);
+/// Answers of this size are counted as large.
+constexpr double kBulkBytes = 16 * 1024;
 /// A failed attempt costs its caller about this much time.
 constexpr Duration kCostOfFailure = milliseconds(800);
 constexpr Duration kFailureHalfLife = seconds(2);
@@ -103,10 +105,15 @@
                                            const ChoiceQuery& aQuery,
                                            TimePoint aNow)
 {
+  // Large answers fill the link between the regions, and then nothing else gets through.
+  bool staysInRegion = IsBulk(aQuery.kind) && HasNear(aCandidates, aSelf);
   const Member* best = nullptr;
   double bestCost = 0;
   Duration bestFinish = Duration::zero();
   for (const Member* member : aCandidates) {
+    if (staysInRegion && member->region != aSelf.region) {
+      continue;
+    }
     auto found = seen_.find(member->id);
     const Seen* seen = found == seen_.end() ? nullptr : &found->second;
     Duration work = ExpectedWork(seen, aQuery.kind, aNow);
@@ -118,6 +125,9 @@
     double failures = 0;
     if (seen != nullptr) {
       finish += ExpectedWait(*seen, work, aNow);
+      if (IsBulk(aQuery.kind)) {
+        finish += std::max(Duration::zero(), seen->gate.linkWait - (aNow - seen->gateAt));
+      }
       failures = seen->failures * std::exp2(-HalfLives(aNow - seen->failuresAt, kFailureHalfLife));
     }
     Duration price = PriceOfBytes(*member, aSelf, aQuery.kind);
@@ -135,6 +145,19 @@
   return isSecondAsk && bestFinish > aQuery.timeLeft ? nullptr : best;
 }
 
+bool UpstreamChoice::IsBulk(const std::string& aKind) const
+{
+  auto kind = kinds_.find(aKind);
+  return kind != kinds_.end() && kind->second.answerBytes >= kBulkBytes;
+}
+
+bool UpstreamChoice::HasNear(const Candidates& aCandidates, const Member& aSelf)
+{
+  return std::any_of(aCandidates.begin(), aCandidates.end(), [&](const Member* aMember) {
+    return aMember->region == aSelf.region;
+  });
+}
+
 Duration UpstreamChoice::ExpectedWait(const Seen& aSeen, Duration aWork, TimePoint aNow) const
 {
   // The queue that was seen moves on; what this node has sent since stands behind it.
--- a/src/routing/UpstreamChoice.h
+++ b/src/routing/UpstreamChoice.h
@@ -145,6 +145,8 @@
   int64_t Load(const Member& aMember) const;
   double ExpectedTime(const Member& aMember, TimePoint aNow) const;
   Duration ExpectedWait(const Seen& aSeen, Duration aWork, TimePoint aNow) const;
+  bool IsBulk(const std::string& aKind) const;
+  static bool HasNear(const Candidates& aCandidates, const Member& aSelf);
   Duration ExpectedWay(const Seen& aSeen, const std::string& aKind, TimePoint aNow) const;
   Duration ExpectedWork(const Seen* aSeen, const std::string& aKind, TimePoint aNow) const;
   /// Time that the way to a member takes, and what its bytes are worth in time.
--- a/src/wire/Fragments.cpp
+++ b/src/wire/Fragments.cpp
@@ -14,6 +14,7 @@
 void FragmentSender::Add(const LinkMessage& aMessage, std::string aBytes)
 {
   Outgoing outgoing{ nextId_++, aMessage, std::move(aBytes) };
+  bytesWaiting_ += outgoing.bytes.size();
   Share& share = ShareOf(outgoing);
   share.waiting.push_back(std::move(outgoing));
 }
@@ -76,6 +77,7 @@
   fragment.bytes.data = outgoing.bytes.substr(outgoing.sent, kFragmentBytes);
   outgoing.sent += fragment.bytes.data.size();
   onTheWay_ += fragment.bytes.data.size();
+  bytesWaiting_ -= fragment.bytes.data.size();
   sentAt_.push_back(aNow);
   fragment.isLast = outgoing.sent >= outgoing.bytes.size();
   if (fragment.isLast) {
@@ -96,6 +98,7 @@
     }
     queue->clear();
   }
+  bytesWaiting_ = 0;
   return unsent;
 }
 
--- a/src/wire/Fragments.h
+++ b/src/wire/Fragments.h
@@ -69,6 +69,8 @@
   void OnCredit(uint64_t aBytes, TimePoint aNow);
   /// The next fragment, where the window allows one.
   std::optional<Fragment> Next(TimePoint aNow);
+  /// Bytes of messages whose fragments have not been taken.
+  size_t BytesWaiting() const { return bytesWaiting_; }
   size_t Window() const { return static_cast<size_t>(window_); }
   /// Messages of which the last fragment has not been taken.
   std::vector<LinkMessage> TakeUnsent();
@@ -96,6 +98,7 @@
 
   uint64_t nextId_ = 1;
 
+  size_t bytesWaiting_ = 0;
   size_t onTheWay_ = 0;
   /// When each fragment on the way was sent; credits come in the same order.
   std::deque<TimePoint> sentAt_;
--- a/src/wire/Links.h
+++ b/src/wire/Links.h
@@ -45,6 +45,9 @@
   virtual void SetVersion(Version aVersion) = 0;
   virtual void OnVersionSeen(std::function<void(const Endpoint&, Version)> aCallback) = 0;
 
+  /// Bytes that wait in this process for their links.
+  virtual size_t BytesWaiting() const = 0;
+
   /// Bytes written to links, for each lane.
   virtual uint64_t BytesSent(Lane aLane) const = 0;
 };
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -141,6 +141,8 @@
   int64_t freeSlots = 0;
   int64_t waitUs = 0;
   int64_t workUs = 0;
+  /// Time until a large answer that joins those waiting on the links has left.
+  int64_t linkWaitUs = 0;
   /// Time that the call has spent beside the upstream; the rest of its time is the way.
   int64_t elapsedUs = 0;
 };
@@ -286,6 +288,7 @@
   aVisitor.Field("free_slots", aReply.freeSlots);
   aVisitor.Field("wait_us", aReply.waitUs);
   aVisitor.Field("work_us", aReply.workUs);
+  aVisitor.Field("link_wait_us", aReply.linkWaitUs);
   aVisitor.Field("elapsed_us", aReply.elapsedUs);
 }
 
--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -95,6 +95,13 @@
   return isOutgoing_ && awaited_ == 0 && aNow - lastUsed_ > kCloseIdleAfter;
 }
 
+size_t WebsocketLinks::Link::BytesWaiting() const
+{
+  size_t output =
+    socket_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(socket_));
+  return output + fragments_.BytesWaiting();
+}
+
 std::vector<LinkMessage> WebsocketLinks::Link::TakeUnsent()
 {
   std::vector<LinkMessage> unsent = fragments_.TakeUnsent();
--- a/src/wire/WebsocketLink.h
+++ b/src/wire/WebsocketLink.h
@@ -26,6 +26,7 @@
   /// Whether the link must be closed now.
   bool IsOver(TimePoint aNow);
   void CountAwaited(int aChange) { awaited_ = std::max(0, awaited_ + aChange); }
+  size_t BytesWaiting() const;
   /// Messages that have not left this process whole.
   std::vector<LinkMessage> TakeUnsent();
   void SetPeer(const Endpoint& aPeer) { peer_ = aPeer; }
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -239,6 +239,15 @@
   tick_ = loop_.After(kTickPeriod, [this] { Tick(); });
 }
 
+size_t WebsocketLinks::BytesWaiting() const
+{
+  size_t bytes = 0;
+  for (const auto& [id, link] : links_) {
+    bytes += link->BytesWaiting();
+  }
+  return bytes;
+}
+
 WebsocketLinks::Link* WebsocketLinks::Find(LinkId aId) const
 {
   auto found = links_.find(aId);
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -45,6 +45,7 @@
     onVersionSeen_ = std::move(aCallback);
   }
   int Handshakes() const { return handshakes_; }
+  size_t BytesWaiting() const override;
   uint64_t BytesSent(Lane aLane) const override { return bytesSent_[static_cast<size_t>(aLane)]; }
 
 private:
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -23,6 +23,8 @@
   IMPLEMENT_MOCK1(SetVersion);
   IMPLEMENT_MOCK1(OnVersionSeen);
   IMPLEMENT_CONST_MOCK1(BytesSent);
+  size_t BytesWaiting() const override { return bytesWaiting; }
+  size_t bytesWaiting = 0;
 };
 
 class MockUpstream
