Fragments of all links share one bound that follows the machine's link

Cause: each link's window is small, but dozens of them fill the queue of a 7 Mbit/s link, and probes and versions wait there for seconds. Change: WebsocketLinks bounds the bytes on the way of all links to 60 ms of the machine's link and serves the links in turn; members that are not ready or leave are put aside like failing ones.

--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -372,7 +372,8 @@
   AttemptEvidence evidence;
   bool isRefusedByUpstream = aReply.outcome == CallOutcome::NotRun && aReply.hasReachedUpstream;
   evidence.hasFailed = aReply.outcome == CallOutcome::Unknown || isRefusedByUpstream ||
-                       aReply.error == ErrorKind::Unreachable;
+                       aReply.error == ErrorKind::Unreachable ||
+                       aReply.error == ErrorKind::NotReady || aReply.error == ErrorKind::Leaving;
   evidence.queueLength = aReply.queueLength;
   evidence.kind = aCall.route.policy->name;
   evidence.answerBytes = aReply.body.data.size();
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kLeaveNotice = seconds(1);
 /// A stop ends this long before the process would be killed: a busy machine runs its timers late.
 constexpr Duration kGraceMargin = milliseconds(700);
+constexpr Duration kLinkQueue = milliseconds(60);
+/// Two fragments, or a round trip would pass between any two.
+constexpr size_t kSmallestLinkQueue = 2 * kFragmentBytes;
 constexpr Duration kIdleCheck = milliseconds(50);
 /// Lets the last answers and the news of the end leave the process.
 constexpr Duration kLastWords = milliseconds(100);
@@ -41,6 +44,15 @@
                                             : Environment(Standalone{});
 }
 
+/// Bytes that fill the machine's link for the time that small messages may wait behind large ones.
+size_t MostOnTheWay(const MachineSettings& aMachine)
+{
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  double seconds = std::chrono::duration<double>(kLinkQueue).count();
+  double bytes = aMachine.linkMbps * kBytesPerMegabit * seconds;
+  return std::max(kSmallestLinkQueue, static_cast<size_t>(bytes));
+}
+
 CallVocabulary VocabularyOf(EnvironmentName aName)
 {
   return std::visit(Overloaded{
@@ -112,7 +124,13 @@
   bool cutsLargeMessages = settings_.lanes == LanesName::ByClass;
   add(ServiceName::Links,
       std::make_unique<WebsocketLinks>(
-        loop_, settings_.peers, hello, nodeKeys, aSeed + 4, cutsLargeMessages));
+        loop_,
+        settings_.peers,
+        hello,
+        nodeKeys,
+        aSeed + 4,
+        cutsLargeMessages,
+        MostOnTheWay(settings_.machine)));
   add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers, nodeKeys));
   add(ServiceName::Upstream, std::make_unique<HttpUpstream>(loop_, settings_.upstream, context_.vocabulary));
   add(ServiceName::Releases, std::make_unique<ReleasesService>());
--- a/src/wire/Fragments.h
+++ b/src/wire/Fragments.h
@@ -71,6 +71,8 @@
   std::optional<Fragment> Next(TimePoint aNow);
   /// Bytes of messages whose fragments have not been taken.
   size_t BytesWaiting() const { return bytesWaiting_; }
+  /// Bytes of fragments that the receiver has not taken.
+  size_t BytesOnTheWay() const { return onTheWay_; }
   size_t Window() const { return static_cast<size_t>(window_); }
   /// Messages of which the last fragment has not been taken.
   std::vector<LinkMessage> TakeUnsent();
--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -99,7 +99,7 @@
 {
   size_t output =
     socket_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(socket_));
-  return output + fragments_.BytesWaiting();
+  return output + fragments_.BytesWaiting() + fragments_.BytesOnTheWay();
 }
 
 std::vector<LinkMessage> WebsocketLinks::Link::TakeUnsent()
@@ -198,15 +198,19 @@
     return;
   }
   fragments_.Add(aMessage, Encode(envelope));
-  SendFragments();
+  owner_.SendFragments();
 }
 
-void WebsocketLinks::Link::SendFragments()
+bool WebsocketLinks::Link::SendOneFragment()
 {
-  TimePoint now = owner_.loop_.Now();
-  for (auto next = fragments_.Next(now); next.has_value(); next = fragments_.Next(now)) {
-    session_->Send(Encode(LinkFrame(*std::move(next))));
+  size_t before = fragments_.BytesOnTheWay();
+  auto next = fragments_.Next(owner_.loop_.Now());
+  owner_.CountOnTheWay(before, fragments_.BytesOnTheWay());
+  if (!next.has_value()) {
+    return false;
   }
+  session_->Send(Encode(LinkFrame(*std::move(next))));
+  return true;
 }
 
 void WebsocketLinks::Link::OnFrame(const std::string& aBytes)
@@ -220,8 +224,10 @@
                [&](const LinkEnvelope& aEnvelope) { Receive(aEnvelope); },
                [&](const Fragment& aFragment) { OnFragment(aFragment); },
                [&](const FragmentCredit& aCredit) {
+                 size_t before = fragments_.BytesOnTheWay();
                  fragments_.OnCredit(aCredit.bytes, owner_.loop_.Now());
-                 SendFragments();
+                 owner_.CountOnTheWay(before, fragments_.BytesOnTheWay());
+                 owner_.SendFragments();
                },
              },
              *frame);
--- a/src/wire/WebsocketLink.h
+++ b/src/wire/WebsocketLink.h
@@ -26,6 +26,10 @@
   /// Whether the link must be closed now.
   bool IsOver(TimePoint aNow);
   void CountAwaited(int aChange) { awaited_ = std::max(0, awaited_ + aChange); }
+  /// Sends the next fragment where there is one and the window allows it.
+  bool SendOneFragment();
+  size_t BytesOnTheWay() const { return fragments_.BytesOnTheWay(); }
+  /// Bytes that wait here or have not been taken by the peer.
   size_t BytesWaiting() const;
   /// Messages that have not left this process whole.
   std::vector<LinkMessage> TakeUnsent();
@@ -53,7 +57,6 @@
   void Receive(const LinkEnvelope& aEnvelope);
   void SendWaiting();
   void SendNow(const LinkMessage& aMessage);
-  void SendFragments();
   void OnFrame(const std::string& aBytes);
   void OnFragment(const Fragment& aFragment);
   void Ping(TimePoint aNow);
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -23,12 +23,14 @@
                                Hello aSelf,
                                SharedKeys aKeys,
                                uint64_t aSeed,
-                               bool aCutsLargeMessages)
+                               bool aCutsLargeMessages,
+                               size_t aMostOnTheWay)
   : loop_(aLoop)
   , listen_(std::move(aListen))
   , self_(std::move(aSelf))
   , keys_(std::move(aKeys))
   , cutsLargeMessages_(aCutsLargeMessages)
+  , mostOnTheWay_(aMostOnTheWay)
   , backoff_(aSeed)
 {
 }
@@ -214,6 +216,7 @@
   if (link->IsOutgoing()) {
     byTarget_.erase(Target(*link->Peer(), link->LaneOf()));
   }
+  CountOnTheWay(link->BytesOnTheWay(), 0);
   std::vector<LinkMessage> unsent = link->TakeUnsent();
   link->Shut();
   closed_.push_back(std::move(link));
@@ -239,6 +242,24 @@
   tick_ = loop_.After(kTickPeriod, [this] { Tick(); });
 }
 
+void WebsocketLinks::SendFragments()
+{
+  // Each link sends one fragment at its turn, so that none waits for another's large message.
+  bool hasSent = true;
+  while (hasSent && MaySendFragment()) {
+    hasSent = false;
+    auto start = links_.lower_bound(nextToServe_);
+    for (size_t i = 0; i < links_.size() && MaySendFragment(); ++i) {
+      if (start == links_.end()) {
+        start = links_.begin();
+      }
+      hasSent = start->second->SendOneFragment() || hasSent;
+      ++start;
+      nextToServe_ = start == links_.end() ? 0 : start->first;
+    }
+  }
+}
+
 size_t WebsocketLinks::BytesWaiting() const
 {
   size_t bytes = 0;
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -22,12 +22,16 @@
 public:
   /// `aSelf` names this node and where its peers reach it. Without `aCutsLargeMessages` a large
   /// message stands before all later ones, the plain way, for comparison.
+  ///
+  /// `aMostOnTheWay` bounds the fragment bytes of all links together that are on their way, so that
+  /// they never fill the queue of the machine's own link, where small messages would wait too.
   WebsocketLinks(Loop& aLoop,
                  Endpoint aListen,
                  Hello aSelf,
                  SharedKeys aKeys,
                  uint64_t aSeed,
-                 bool aCutsLargeMessages = true);
+                 bool aCutsLargeMessages = true,
+                 size_t aMostOnTheWay = SIZE_MAX);
   ~WebsocketLinks() override;
 
   absl::Status Start() override;
@@ -63,12 +67,20 @@
   void CountHandshakes(int aChange);
   void Tick();
   Link* Find(LinkId aId) const;
+  bool MaySendFragment() const { return onTheWay_ < mostOnTheWay_; }
+  void CountOnTheWay(size_t aBefore, size_t aAfter) { onTheWay_ += aAfter - aBefore; }
+  /// Lets the links go on in turn where the bound allows it again.
+  void SendFragments();
 
   Loop& loop_;
   Endpoint listen_;
   Hello self_;
   SharedKeys keys_;
   bool cutsLargeMessages_;
+  size_t mostOnTheWay_;
+  size_t onTheWay_ = 0;
+  /// The link that is served first the next time.
+  LinkId nextToServe_ = 0;
   evconnlistener* listener_ = nullptr;
   LinkId nextId_ = 1;
   std::map<LinkId, std::unique_ptr<Link>> links_;
