Joining nodes ask in rounds

Versions and probes did not get through. Change: Joining::BeginRound paces the rounds; the time limit of a call beside the upstream leaves room for its cancel. Test: joining/asks_in_rounds_whatever_is_answered.

--- a/src/dandeliond/MembershipService.cpp
+++ b/src/dandeliond/MembershipService.cpp
@@ -255,6 +255,9 @@
   }
   std::set<Endpoint> known = KnownPeers();
   joining_.OnPeersKnown(known.size());
+  if (!joining_.BeginRound(context_.loop.Now())) {
+    return;
+  }
   std::vector<Endpoint> peers(known.begin(), known.end());
   std::shuffle(peers.begin(), peers.end(), random_);
   size_t askedNow = 0;
--- a/src/spread/Joining.cpp
+++ b/src/spread/Joining.cpp
@@ -22,6 +22,15 @@
   }
 }
 
+bool Joining::BeginRound(TimePoint aNow)
+{
+  bool isTooSoon = lastRound_.has_value() && aNow - *lastRound_ < kAskGap;
+  if (!isTooSoon) {
+    lastRound_ = aNow;
+  }
+  return !isTooSoon;
+}
+
 void Joining::OnPeersKnown(size_t aCount)
 {
   peersKnown_ = aCount;
--- a/src/spread/Joining.h
+++ b/src/spread/Joining.h
@@ -16,6 +16,9 @@
 
 /// Peers that a joining node asks.
 constexpr size_t kPeersAsked = 3;
+/// Least time between two rounds of questions. Each answer may tell of new peers, and asking these at
+/// once would keep every node of a mesh that restarts busy with answers.
+constexpr Duration kAskGap = milliseconds(200);
 /// How long a joining node waits for peers when the store has answered.
 constexpr Duration kPeerPatience = seconds(1);
 
@@ -48,6 +51,9 @@
 
   void OnStoreHead(Version aHead);
   void OnAnswer(const JoinAnswer& aAnswer);
+  /// Whether a round of questions may begin now; it then counts as begun.
+  bool BeginRound(TimePoint aNow);
+
   /// Peers that may answer, as far as seeds and answers have told by now.
   void OnPeersKnown(size_t aCount);
 
@@ -56,6 +62,7 @@
 
 private:
   TimePoint began_;
+  std::optional<TimePoint> lastRound_;
   std::optional<Version> storeHead_;
   std::set<std::string> answered_;
   size_t peersKnown_ = 0;
--- a/src/wire/HttpUpstream.cpp
+++ b/src/wire/HttpUpstream.cpp
@@ -13,6 +13,10 @@
 constexpr Duration kMostIdle = seconds(3);
 constexpr Duration kMostIdleForOnce = milliseconds(300);
 
+/// The caller's node ends a call at its deadline and cancels it here. This much later it is taken
+/// that the cancel was lost.
+constexpr Duration kCancelSlack = milliseconds(300);
+
 HttpRequest ToHttpRequest(const OpenCall& aCall, const CallVocabulary& aVocabulary)
 {
   HttpRequest request;
@@ -58,7 +62,7 @@
   call.body.data.clear();
   call.headers.clear();
   HttpSendOptions options;
-  options.timeLimit = milliseconds(aCall.deadlineMs);
+  options.timeLimit = milliseconds(aCall.deadlineMs) + kCancelSlack;
   options.mostIdle = aCall.isIdempotent ? kMostIdle : kMostIdleForOnce;
   options.isOwn = [this, call](int /* aStatus */, const HttpHeaders& aHeaders) {
     return IsAnswerTo(call, aHeaders, vocabulary_);
--- /dev/null
+++ b/test/property/JoiningIsPaced.cpp
@@ -0,0 +1,25 @@
+/// A joining node asks in rounds, however many answers come: a herd that restarts must not spend
+/// its links on questions.
+#include "support/Check.h"
+
+#include "spread/Spread.h"
+
+using namespace dandelion;
+
+Test(joining, asks_in_rounds_whatever_is_answered)
+{
+  CHECK_PROPERTY("any times of answers", [] {
+    Joining joining{ TimePoint() };
+    TimePoint now;
+    int rounds = 0;
+    int answers = *rc::gen::inRange(1, 400);
+    for (int i = 0; i < answers; ++i) {
+      now += microseconds(*rc::gen::inRange<int64_t>(0, 20000));
+      JoinAnswer answer;
+      answer.sender = std::to_string(i);
+      joining.OnAnswer(answer);
+      rounds += joining.BeginRound(now) ? 1 : 0;
+    }
+    RC_ASSERT(rounds <= 1 + (now - TimePoint()) / kAskGap);
+  });
+}
