--- a/test/correctness/StopsGiveTime.cpp
+++ b/test/correctness/StopsGiveTime.cpp
@@ -20,8 +20,7 @@
 
 Test(stop_plan, gives_calls_the_whole_time_when_it_is_asked_again)
 {
-  // Seen on a day on which a node was stopped by its replacement and by its removal 0.9 s later:
-  // the calls of the second stop were cut within its grace time.
+  // A node may be stopped by its replacement and, within the grace time, by its removal.
   StopPlan plan(StopLimits{ milliseconds(2500), milliseconds(5300) });
   TimePoint start(seconds(1));
   plan.Ask(start);
