A leaving node lends its upstream until the farewell, and asks elsewhere before a stop breaks calls off

Change: other nodes are told, and the gate closes, in the last second of the notice. When half of the time of a stop has gone, calls that may run twice and still wait are sent to a second upstream as well, within the budget of repeats. The stop ends 0.3 s before the grace time, not 0.7 s.

--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -159,7 +159,7 @@
   if (std::find(services.begin(), services.end(), aCall.service) == services.end()) {
     aCall.service = splits_.Choose(*route->route);
     // Upstreams of the former service have said nothing about this one.
-    aCall.tried.clear();
+    aCall.asked.Clear();
   }
   return true;
 }
@@ -169,9 +169,10 @@
   const PolicySpec& policy = *aCall.route.policy;
   const ServiceSpec& service = aCall.routes->Source().services.at(aCall.service).spec;
   ChoiceQuery query{
-    aCall.service, policy.crossRegion, milliseconds(service.coldStartMs), aCall.tried
+    aCall.service, policy.crossRegion, milliseconds(service.coldStartMs), aCall.asked.Excluded()
   };
   query.kind = policy.name;
+  query.mustMeetTarget = aCall.asked.MustMeetTarget();
   if (policy.targetMs > 0) {
     query.timeLeft = aCall.beganAt + milliseconds(policy.targetMs) - context_.loop.Now();
   }
@@ -187,12 +188,16 @@
 void CallsService::TryNext(CallId aId)
 {
   Call& call = calls_.at(aId);
+  call.asked.BeginAsk();
   const Member* member = ChooseFor(call);
+  if (member == nullptr && call.asked.BecomePatient()) {
+    member = ChooseFor(call);
+  }
   if (member != nullptr) {
     SendAttempt(aId, *member);
     return;
   }
-  if (!call.tried.empty()) {
+  if (call.asked.Asks() > 0) {
     Answer(aId, AnswerFromReply(call, call.lastReply));
     return;
   }
@@ -209,10 +214,11 @@
   Attempt& attempt = call.open[id];
   attempt.member = aMember.id;
   attempt.sentAt = context_.loop.Now();
-  call.tried.insert(aMember.id);
+  OpenCall open = MakeOpenCall(call, id);
+  attempt.isImpatient = open.patienceMs.has_value();
+  call.asked.OnSent(aMember.id);
   byAttempt_[id] = aId;
   choice_.OnAttemptBegan(aMember.id);
-  OpenCall open = MakeOpenCall(call, id);
   if (aMember.id == context_.settings.id) {
     SendLocally(aId, id, open);
     return;
@@ -258,6 +264,10 @@
   if (policy.targetMs > 0) {
     Duration left = aCall.beganAt + milliseconds(policy.targetMs) - context_.loop.Now();
     open.targetMs = std::max<int64_t>(1, ToMilliseconds(left));
+    std::optional<Duration> patience = aCall.asked.Patience(left);
+    if (patience.has_value()) {
+      open.patienceMs = ToMilliseconds(*patience);
+    }
   }
   open.priority = policy.priority;
   open.isIdempotent = IsIdempotent(aCall.request, policy);
@@ -281,7 +291,7 @@
 {
   Call& call = calls_.at(aId);
   // Only a first attempt that is still alone is hedged; a retry is a second chance already.
-  bool isFirst = call.open.size() == 1 && call.tried.size() == 1;
+  bool isFirst = call.open.size() == 1 && call.asked.Asks() == 1;
   const Member* member = isFirst ? ChooseFor(call) : nullptr;
   if (member != nullptr && hedging_.Spend()) {
     metrics_->Count(CounterName::Hedges, ClassLabel(call.limits.trafficClass));
@@ -384,6 +394,10 @@
   }
   evidence.taken = now - found->second.sentAt;
   choice_.OnAttemptEnded(found->second.member, evidence, now);
+  if (found->second.isImpatient && aReply.error == ErrorKind::Overloaded &&
+      !aReply.hasReachedUpstream) {
+    aCall.asked.OnBusy(found->second.member);
+  }
   aCall.open.erase(found);
   // An answer of the upstream is worth more than the word of a later attempt that had none.
   if (aReply.outcome == CallOutcome::Ran || aCall.lastReply.outcome != CallOutcome::Ran) {
@@ -437,6 +451,30 @@
   }
 }
 
+void CallsService::AskElsewhere()
+{
+  std::vector<CallId> late;
+  for (const auto& [id, call] : calls_) {
+    if (call.open.size() == 1 && call.attempts.MayRunTwice()) {
+      late.push_back(id);
+    }
+  }
+  for (CallId id : late) {
+    // A refusal that comes back at once may have ended the call.
+    auto found = calls_.find(id);
+    const Member* member = found == calls_.end() ? nullptr : ChooseFor(found->second);
+    if (member != nullptr && budgets_.For(found->second.service).Spend()) {
+      LogRequest(LogPart::Calls,
+                 LogLevel::Info,
+                 found->second.request.id,
+                 "Asked {} as well after {} ms: this node stops before the first may answer.",
+                 member->id,
+                 ToMilliseconds(context_.loop.Now() - found->second.beganAt));
+      SendAttempt(id, *member);
+    }
+  }
+}
+
 void CallsService::EndAll()
 {
   std::vector<CallId> ids;
@@ -528,10 +566,10 @@
   LogRequest(LogPart::Calls,
              LogLevel::Info,
              aCall.request.id,
-             "Answered {} after {} ms and {} members: {}. Route {} of version {}, service {}.",
+             "Answered {} after {} ms and {} asks: {}. Route {} of version {}, service {}.",
              NameOf(aAnswer.outcome),
              ToMilliseconds(context_.loop.Now() - aCall.beganAt),
-             aCall.tried.size(),
+             aCall.asked.Asks(),
              aAnswer.error.has_value() ? NameOf(*aAnswer.error) : "repeated",
              isRouted ? aCall.route.route->name : "-",
              isRouted ? aCall.routes->Source().version : releases_->Current()->version,
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -6,7 +6,6 @@
 
 #include <map>
 #include <random>
-#include <set>
 
 namespace dandelion {
 
@@ -23,6 +22,7 @@
 
   CallId Begin(CallerRequest aRequest, OnAnswer aDone) override;
   void Cancel(CallId aId) override;
+  void AskElsewhere() override;
   void EndAll() override;
   size_t InProgress() const override { return calls_.size(); }
 
@@ -38,6 +38,8 @@
     std::optional<LinkId> link;
     Admission::Ticket ticket = 0;
     TimePoint sentAt;
+    /// It was sent to be refused rather than wait.
+    bool isImpatient = false;
   };
   struct Call
   {
@@ -52,7 +54,7 @@
     /// Without attempts until the call has a route.
     CallLimits limits;
     Attempts attempts;
-    std::set<std::string> tried;
+    AskedMembers asked;
     std::map<AttemptId, Attempt> open;
     CallReply lastReply;
     Timer limit;
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -21,8 +21,9 @@
 
 /// Others learn of the leave in this time, so that work they have sent already is still answered.
 constexpr Duration kLeaveNotice = seconds(1);
-/// A stop ends this long before the process would be killed: a busy machine runs its timers late.
-constexpr Duration kGraceMargin = milliseconds(700);
+/// A stop ends this long before the process would be killed: the last words, and timers that run
+/// late on a busy machine.
+constexpr Duration kGraceMargin = milliseconds(300);
 constexpr Duration kLinkQueue = milliseconds(60);
 /// Two fragments, or a round trip would pass between any two.
 constexpr size_t kSmallestLinkQueue = 2 * kFragmentBytes;
@@ -47,6 +48,7 @@
 {
   StopLimits limits;
   limits.notice = std::max<Duration>(kLeaveNotice, milliseconds(aSettings.stopNoticeMs));
+  limits.farewell = kLeaveNotice;
   limits.most = milliseconds(aSettings.drainMs);
   if (aSettings.graceS > 0) {
     constexpr double kMicrosecondsPerSecond = 1e6;
@@ -197,8 +199,6 @@
     registry_.Find<Readiness>(ServiceName::Readiness).BeginStop();
   }
   registry_.Find<Front>(ServiceName::Front).BeginClosing();
-  registry_.Find<Membership>(ServiceName::Membership).Leave(MemberState::Leaving);
-  registry_.Find<Admission>(ServiceName::Admission).Drain([this] { isDrained_ = true; });
   StopWhenIdle();
 }
 
@@ -207,9 +207,18 @@
   TimePoint now = loop_.Now();
   Front& front = registry_.Find<Front>(ServiceName::Front);
   Calls& calls = registry_.Find<Calls>(ServiceName::Calls);
+  if (!stop_.TakesCalls(now) && !hasSaidFarewell_) {
+    hasSaidFarewell_ = true;
+    registry_.Find<Membership>(ServiceName::Membership).Leave(MemberState::Leaving);
+    registry_.Find<Admission>(ServiceName::Admission).Drain([this] { isDrained_ = true; });
+  }
   if (!stop_.TakesCallers(now)) {
     front.StopListening();
   }
+  if (stop_.IsPressed(now) && !hasAskedElsewhere_) {
+    hasAskedElsewhere_ = true;
+    calls.AskElsewhere();
+  }
   bool isIdle = isDrained_ && calls.InProgress() == 0 && front.Busy() == 0;
   if (!stop_.MayEnd(now, isIdle)) {
     timer_ = loop_.After(kIdleCheck, [this] { StopWhenIdle(); });
--- a/src/dandeliond/Node.h
+++ b/src/dandeliond/Node.h
@@ -31,6 +31,8 @@
   NodeContext context_;
   StopPlan stop_;
   bool isDrained_ = false;
+  bool hasSaidFarewell_ = false;
+  bool hasAskedElsewhere_ = false;
   Timer timer_;
 };
 
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -221,6 +221,9 @@
   /// Carries a call. The answer comes once, unless the call is cancelled.
   virtual CallId Begin(CallerRequest aRequest, OnAnswer aDone) = 0;
   virtual void Cancel(CallId aId) = 0;
+  /// Sends those calls to a second upstream as well that may run twice and still wait for the
+  /// first one's answer. For a node that cannot wait much longer.
+  virtual void AskElsewhere() = 0;
   /// Answers all calls in progress now, with what is known of each.
   virtual void EndAll() = 0;
   virtual size_t InProgress() const = 0;
--- a/src/dandeliond/StopPlan.cpp
+++ b/src/dandeliond/StopPlan.cpp
@@ -8,6 +8,7 @@
 {
   if (!askedAt_.has_value()) {
     earliest_ = aNow + limits_.notice;
+    refusing_ = earliest_ - limits_.farewell;
   }
   askedAt_ = aNow;
   deadline_ = std::max(earliest_, aNow + limits_.most);
--- a/src/dandeliond/StopPlan.h
+++ b/src/dandeliond/StopPlan.h
@@ -12,6 +12,8 @@
 {
   /// For so long callers may still come: they are on their way to other nodes.
   Duration notice = Duration::zero();
+  /// The last part of the notice, in which other nodes learn that they must not call any more.
+  Duration farewell = Duration::zero();
   /// Longest time for calls in progress.
   Duration most = Duration::zero();
 };
@@ -27,14 +29,19 @@
   /// A stop is asked for. Whoever asks again gives the whole time again.
   void Ask(TimePoint aNow);
   bool IsAsked() const { return askedAt_.has_value(); }
+  /// Calls of other nodes are still taken, since the upstream beside this node goes on.
+  bool TakesCalls(TimePoint aNow) const { return aNow < refusing_; }
   /// New connections of callers are still taken.
   bool TakesCallers(TimePoint aNow) const { return aNow < earliest_; }
+  /// Calls in progress cannot wait much longer for the upstreams that they were sent to.
+  bool IsPressed(TimePoint aNow) const { return IsAsked() && aNow >= *askedAt_ + limits_.most / 2; }
   /// The process may end now; `aIsIdle` says that nothing is in progress.
   bool MayEnd(TimePoint aNow, bool aIsIdle) const;
 
 private:
   StopLimits limits_;
   std::optional<TimePoint> askedAt_;
+  TimePoint refusing_;
   TimePoint earliest_;
   TimePoint deadline_;
 };
--- a/test/correctness/CallersNodeRepeatsSafely.cpp
+++ b/test/correctness/CallersNodeRepeatsSafely.cpp
@@ -185,3 +185,26 @@
     cr_assert_eq(bench.answers[0].status, 500);
   }
 }
+
+Test(callers_node, asks_a_second_upstream_for_lookups_that_a_stop_would_break_off)
+{
+  // An upstream that hangs outlasts the grace time of the node that waits for it.
+  Bench bench;
+  bench.Begin("GET");
+  bench.calls->AskElsewhere();
+  cr_assert_eq(bench.sent.size(), 2);
+  cr_assert_neq(bench.sent[0].first, bench.sent[1].first);
+  bench.calls->AskElsewhere();
+  cr_assert_eq(bench.sent.size(), 2, "two at a time are enough");
+  bench.Reply(CallOutcome::Ran, std::nullopt);
+  cr_assert_eq(bench.answers.size(), 1);
+  cr_assert(bench.answers[0].outcome == CallOutcome::Ran);
+}
+
+Test(callers_node, never_asks_a_second_upstream_for_a_deposit_in_progress)
+{
+  Bench bench;
+  bench.Begin("POST");
+  bench.calls->AskElsewhere();
+  cr_assert_eq(bench.sent.size(), 1);
+}
