--- a/src/dandelion/Commands.cpp
+++ b/src/dandelion/Commands.cpp
@@ -1,10 +1,13 @@
 #include "dandelion/Commands.h"
 
+#include "dandelion/RequestStory.h"
+
 #include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
 #include <fstream>
+#include <iostream>
 #include <numeric>
 #include <sstream>
 
@@ -33,6 +36,9 @@
   { CommandName::Config, "config", "shows the configuration in force on the node asked" },
   { CommandName::Nodes, "nodes", "lists the nodes that the node asked knows" },
   { CommandName::Explain, "explain METHOD PATH", "says where a call would go, and why" },
+  { CommandName::Explain,
+    "explain --log FILE... REQUEST-ID",
+    "shows the way of a request from the nodes' logs; \"-\" is standard input" },
   { CommandName::Metrics, "metrics", "shows the counters of the node asked" },
   { CommandName::Help, "help [COMMAND]", "shows this text" },
 };
@@ -254,6 +260,55 @@
   return exitCode;
 }
 
+/// The last word is the request, those before it are files.
+int ExplainFromLogs(const CommandOptions& aOptions, const std::vector<std::string>& aWords)
+{
+  RequestStory story(aWords.back());
+  for (auto path = aWords.begin(); path != aWords.end() - 1; ++path) {
+    std::ifstream file;
+    if (*path != "-") {
+      file.open(*path);
+      if (!file) {
+        return Fail(
+          MakeError(ErrorKind::Usage, fmt::format("cannot read \"{}\"; check the path", *path)));
+      }
+    }
+    std::istream& input = *path == "-" ? std::cin : file;
+    std::string line;
+    while (std::getline(input, line)) {
+      story.Take(line);
+    }
+  }
+  std::vector<StoryLine> lines = story.Lines();
+  Json json = Json::array();
+  for (const StoryLine& line : lines) {
+    if (aOptions.isJson) {
+      json.push_back({ { "time", line.time },
+                       { "node", line.node },
+                       { "part", line.part },
+                       { "text", line.text } });
+    } else {
+      fmt::print("{} {} {}: {}\n", line.time, line.node, line.part, line.text);
+    }
+  }
+  if (aOptions.isJson) {
+    fmt::print("{}\n", json.dump(2, ' ', false, Json::error_handler_t::replace));
+  }
+  if (story.Unreadable() > 0 || story.LeftOut() > 0) {
+    fmt::print(stderr,
+               "dandelion: {} lines were no log of a node, and the nodes left out {} lines\n",
+               story.Unreadable(),
+               story.LeftOut());
+  }
+  if (lines.empty()) {
+    return Fail(MakeError(ErrorKind::UnknownObject,
+                          fmt::format("no line is about \"{}\"; a request that was answered at its "
+                                      "first attempt leaves none",
+                                      aWords.back())));
+  }
+  return 0;
+}
+
 int ShowText(OperatorClient& aClient, const std::string& aTarget)
 {
   auto answer = aClient.Ask(HttpRequest{ "GET", aTarget, {}, "" }, kAskLimit);
@@ -302,7 +357,7 @@
   std::string text = "dandelion [--nodes=IP:PORT,...] [--json] COMMAND\n\n";
   for (const CommandHelp& help : kHelp) {
     if (!aCommand.has_value() || help.name == *aCommand) {
-      text += fmt::format("  {:<26}{}\n", help.words, help.what);
+      text += fmt::format("  {:<34}{}\n", help.words, help.what);
     }
   }
   text += "\nExit codes: 0 done, 2 wrong use, 4 bad note, 5 object missing or in use, 6 conflict,\n"
@@ -343,6 +398,10 @@
     case CommandName::Nodes:
       return arguments == 0 ? ShowNodes(aClient, aOptions) : needs(0);
     case CommandName::Explain:
+      if (aOptions.readsLogs) {
+        return arguments >= 2 ? ExplainFromLogs(aOptions, { aWords.begin() + 1, aWords.end() })
+                              : needs(2);
+      }
       return arguments == 2 ? Explain(aClient, aOptions, aWords[2]) : needs(2);
     case CommandName::Metrics:
       return arguments == 0 ? ShowText(aClient, "/metrics") : needs(0);
--- a/src/dandelion/Commands.h
+++ b/src/dandelion/Commands.h
@@ -35,6 +35,8 @@
 struct CommandOptions
 {
   bool isJson = false;
+  /// `explain` finds a request in the logs of nodes.
+  bool readsLogs = false;
   /// `submit` and `status` go on until the note is in force everywhere or refused.
   bool isWatching = false;
   Duration timeLimit = seconds(30);
--- /dev/null
+++ b/src/dandelion/RequestStory.cpp
@@ -0,0 +1,54 @@
+#include "dandelion/RequestStory.h"
+
+#include "codec/Codec.h"
+
+#include <algorithm>
+
+namespace dandelion {
+
+namespace {
+
+std::string TextOf(const Json& aLine, const char* aName)
+{
+  auto found = aLine.find(aName);
+  return found != aLine.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+size_t CountOf(const Json& aLine, const char* aName)
+{
+  auto found = aLine.find(aName);
+  return found != aLine.end() && found->is_number_unsigned() ? found->get<size_t>() : 0;
+}
+
+} // namespace
+
+void RequestStory::Take(std::string_view aLine)
+{
+  size_t begin = aLine.find('{');
+  if (begin == std::string_view::npos) {
+    unreadable_ += aLine.empty() ? 0 : 1;
+    return;
+  }
+  Json line = Json::parse(aLine.substr(begin), nullptr, /*allow_exceptions=*/false);
+  if (!line.is_object()) {
+    ++unreadable_;
+    return;
+  }
+  leftOut_ += CountOf(line, "left_out") + CountOf(line, "dropped");
+  if (TextOf(line, "request") == request_) {
+    lines_.push_back(StoryLine{
+      TextOf(line, "time"), TextOf(line, "node"), TextOf(line, "part"), TextOf(line, "text") });
+  }
+}
+
+std::vector<StoryLine> RequestStory::Lines() const
+{
+  std::vector<StoryLine> lines = lines_;
+  // Times are of one width, so their texts sort as they do; equal ones keep their order.
+  std::stable_sort(lines.begin(), lines.end(), [](const StoryLine& aA, const StoryLine& aB) {
+    return aA.time < aB.time;
+  });
+  return lines;
+}
+
+} // namespace dandelion
--- /dev/null
+++ b/src/dandelion/RequestStory.h
@@ -0,0 +1,48 @@
+/// Finds the way of one request in the logs of the nodes that it passed.
+#ifndef DANDELION_DANDELION_REQUEST_STORY_H
+#define DANDELION_DANDELION_REQUEST_STORY_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dandelion {
+
+/// One decision about the request.
+struct StoryLine
+{
+  std::string time;
+  std::string node;
+  std::string part;
+  std::string text;
+};
+
+class RequestStory
+{
+public:
+  explicit RequestStory(std::string aRequest)
+    : request_(std::move(aRequest))
+  {
+  }
+
+  /// Takes one line of a log. A collector may have put other words before the node's JSON.
+  void Take(std::string_view aLine);
+
+  /// The decisions in the order of their times. The nodes' clocks may differ by some milliseconds.
+  std::vector<StoryLine> Lines() const;
+  /// Lines that are no JSON object of a node's log.
+  size_t Unreadable() const { return unreadable_; }
+  /// Lines that nodes left out to bound the volume of their logs: the story may lack some.
+  size_t LeftOut() const { return leftOut_; }
+
+private:
+  std::string request_;
+  std::vector<StoryLine> lines_;
+  size_t unreadable_ = 0;
+  size_t leftOut_ = 0;
+};
+
+} // namespace dandelion
+
+#endif
--- a/src/dandelion/main.cpp
+++ b/src/dandelion/main.cpp
@@ -9,6 +9,7 @@
 ABSL_FLAG(std::string, key_file, "", "file with the operators' key, where the nodes ask for one");
 ABSL_FLAG(bool, json, false, "print JSON");
 ABSL_FLAG(bool, watch, false, "go on until the note is in force everywhere or refused");
+ABSL_FLAG(bool, log, false, "explain reads log files of nodes instead of asking one");
 ABSL_FLAG(int64_t, timeout_ms, 30000, "longest time that submit and --watch go on");
 
 int main(int aCount, char** aWords)
@@ -28,6 +29,7 @@
   }
   CommandOptions options;
   options.isJson = absl::GetFlag(FLAGS_json);
+  options.readsLogs = absl::GetFlag(FLAGS_log);
   options.isWatching = absl::GetFlag(FLAGS_watch);
   options.timeLimit = milliseconds(absl::GetFlag(FLAGS_timeout_ms));
   OperatorClient client(*nodes, *keys);
--- a/src/dandeliond/main.cpp
+++ b/src/dandeliond/main.cpp
@@ -40,6 +40,7 @@
   }
   SetLogLevel(settings->logLevel);
   LogAsJson();
+  SetLogNode(settings->id);
   if (settings->keys.nodes.empty() || settings->keys.operators.empty()) {
     Log(LogPart::Kernel,
         LogLevel::Warning,
--- a/src/kernel/Log.cpp
+++ b/src/kernel/Log.cpp
@@ -28,6 +28,8 @@
 /// Ordinary lines and those of failures, so that the first never crowd out the second.
 std::array<std::array<RateWindow, 2>, kPartCount> gWindows;
 int64_t gDropped = 0;
+/// The field that names the process, with its comma; empty for none.
+std::string gNodeField;
 
 bool Admit(RateWindow& aWindow, int64_t aSecond)
 {
@@ -73,6 +75,7 @@
 {
   std::string line =
     fmt::format(R"({{"time":"{}","level":"{}","part":"{}")", aTime, NameOf(aLevel), NameOf(aPart));
+  line += gNodeField;
   if (!aRequest.empty()) {
     line += R"(,"request":)" + Quoted(aRequest);
   }
@@ -103,6 +106,11 @@
   }
 }
 
+void SetLogNode(const std::string& aNode)
+{
+  gNodeField = R"(,"node":)" + Quoted(aNode);
+}
+
 void WriteLog(LogPart aPart,
               LogLevel aLevel,
               const std::string& aSentence,
--- a/src/kernel/Log.h
+++ b/src/kernel/Log.h
@@ -70,6 +70,9 @@
 /// the number of dropped lines is told with the next one.
 void LogAsJson();
 
+/// Names the process in each JSON line from now on, so that the logs of many can be joined.
+void SetLogNode(const std::string& aNode);
+
 /// Writes one line. Each part may write a bounded number of lines a second, warnings and errors
 /// apart from the others; the number left out is told with the first line after.
 void WriteLog(LogPart aPart,
--- /dev/null
+++ b/test/correctness/LogsTellTheWayOfARequest.cpp
@@ -0,0 +1,45 @@
+/// The tool joins the lines of several nodes about one request.
+#include "support/Check.h"
+
+#include "dandelion/RequestStory.h"
+
+using namespace dandelion;
+
+namespace {
+
+/// Lines that two nodes wrote on a day of the bench, as its collector prints them, out of order.
+constexpr const char* kLines[] = {
+  R"(  16.8131 sidecar-kgn-nl-2 {"time":"2026-04-21T22:29:40.813Z","level":"info","part":"calls","node":"sidecar-kgn-nl-2","request":"8ed9a0df07a8e87b","left_out":3,"text":"Answered unknown after 400 ms and 2 asks: deadline-exceeded."})",
+  R"({"time":"2026-04-21T22:29:40.701Z","level":"info","part":"admission","node":"sidecar-mbj-fair-2","request":"8ed9a0df07a8e87b","text":"Refused as not run: leaving."})",
+  R"({"time":"2026-04-21T22:29:40.702Z","level":"info","part":"admission","node":"sidecar-mbj-fair-2","request":"63fb53b5027d5676","text":"Refused as not run: leaving."})",
+  R"({"time":"2026-04-21T22:29:40.500Z","level":"info","part":"kernel","node":"sidecar-mbj-fair-2","text":"sidecar-mbj-fair-2 is leaving and finishes its work."})",
+};
+
+} // namespace
+
+Test(request_story, holds_the_lines_of_one_request_in_order_of_time)
+{
+  RequestStory story("8ed9a0df07a8e87b");
+  for (const char* line : kLines) {
+    story.Take(line);
+  }
+  std::vector<StoryLine> lines = story.Lines();
+  cr_assert_eq(lines.size(), 2);
+  cr_assert_eq(lines[0].node, std::string("sidecar-mbj-fair-2"));
+  cr_assert_eq(lines[0].part, std::string("admission"));
+  cr_assert_eq(lines[1].text,
+               std::string("Answered unknown after 400 ms and 2 asks: deadline-exceeded."));
+  cr_assert_eq(story.LeftOut(), 3);
+  cr_assert_eq(story.Unreadable(), 0);
+}
+
+Test(request_story, passes_over_what_is_no_log_line)
+{
+  RequestStory story("a");
+  for (const char* line :
+       { "", "plain words", "{", "{\"request\":7}", "[1]", "{\"request\":\"a" }) {
+    story.Take(line);
+  }
+  cr_assert(story.Lines().empty());
+  cr_assert_eq(story.Unreadable(), 4);
+}
