Failed writes of first contacts and ended watches leave a log line; a page that is no object ends no process

The results of writes of first contacts were dropped, a watch ended without a reason, and a page of the store that is no JSON object would have thrown. No test of its own: the store client has none on the platform's protocol yet.

--- a/src/dandeliond/SeedsService.cpp
+++ b/src/dandeliond/SeedsService.cpp
@@ -112,7 +112,6 @@
   const Member& self = membership_->Self();
   bool isAlone = membership_->Table().All().size() <= 1;
   size_t living = 0;
-  auto ignore = [](const absl::Status&) {};
   for (const auto& [key, endpoint] : aListed) {
     if (endpoint == self.endpoint && key == OwnKey()) {
       return;
@@ -122,12 +121,22 @@
     living += isThere ? 1 : 0;
     if (!isThere && IsRelayOrAlone()) {
       // The node may only be unknown to us; it lists itself again at its next look.
-      store_->DeleteRange(key, key + '\0', ignore);
+      store_->DeleteRange(key, key + '\0', &SeedsService::OnWritten);
     }
   }
   if (living < kMostPerZone) {
     Seed seed{ self.region, self.endpoint, self.farEndpoint };
-    store_->Put(OwnKey(), Encode(seed), std::nullopt, ignore);
+    store_->Put(OwnKey(), Encode(seed), std::nullopt, &SeedsService::OnWritten);
+  }
+}
+
+void SeedsService::OnWritten(const absl::Status& aStatus)
+{
+  if (!aStatus.ok()) {
+    Log(LogPart::Store,
+        LogLevel::Warning,
+        "The first contacts were not changed: {}; the next look writes again.",
+        Reason(aStatus));
   }
 }
 
--- a/src/dandeliond/SeedsService.h
+++ b/src/dandeliond/SeedsService.h
@@ -26,6 +26,7 @@
   /// contacts of the zone, by key.
   void OfferSelf(const std::map<std::string, Endpoint>& aListed);
   bool IsRelayOrAlone() const;
+  static void OnWritten(const absl::Status& aStatus);
   std::string OwnKey() const;
 
   const NodeContext& context_;
--- a/src/dandeliond/StoredConfigurationService.cpp
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -134,6 +134,7 @@
     auto onEvents = [this](const std::vector<KeyValue>& aItems) {
       // Only the newest one matters; those between were never in force here.
       if (!aItems.empty()) {
+        // `Take` has logged why it refuses one.
         (void)Take(aItems.back());
       }
     };
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -57,6 +57,12 @@
   return items;
 }
 
+bool IsTrue(const Json& aBody, const char* aName)
+{
+  auto found = aBody.find(aName);
+  return found != aBody.end() && found->is_boolean() && found->get<bool>();
+}
+
 int64_t ReadRevision(const Json& aBody)
 {
   bool isThere =
@@ -183,7 +189,11 @@
     }
     // Pages are no snapshot: a watch starts behind the first of them.
     result.revision = result.revision == 0 ? ReadRevision(aReply->body) : result.revision;
-    bool hasMore = aReply->body.value("has-more", false) && !result.items.empty();
+    if (!aReply->body.is_object()) {
+      done(MakeError(ErrorKind::BrokenMessage, "the store's answer holds no items"));
+      return;
+    }
+    bool hasMore = IsTrue(aReply->body, "has-more") && !result.items.empty();
     if (hasMore) {
       std::string last = result.items.back().key;
       ReadPage(aRequest, last, std::move(result), done);
@@ -328,6 +338,13 @@
   bool goesOn = aReply.ok() && aReply->status == kOk && revision > 0;
   if (!goesOn) {
     // Lost, refused, or the history is no longer there: the reader starts anew.
+    Log(LogPart::Store,
+        LogLevel::Info,
+        "The watch of \"{}\" after revision {} has ended: {}.",
+        found->second.prefix,
+        found->second.revision,
+        aReply.ok() ? fmt::format("the store answered {}", aReply->status)
+                    : Reason(aReply.status()));
     auto onEnd = std::move(found->second.onEnd);
     watches_.erase(found);
     onEnd();
