A stop asks a second upstream also for calls whose target has passed

Change: that choice does not ask for the target. Test: callers_node/asks_a_second_upstream_also_when_the_target_has_passed, red without the change.

--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -462,7 +462,14 @@
   for (CallId id : late) {
     // A refusal that comes back at once may have ended the call.
     auto found = calls_.find(id);
-    const Member* member = found == calls_.end() ? nullptr : ChooseFor(found->second);
+    if (found == calls_.end()) {
+      continue;
+    }
+    // The target has mostly passed, and an answer that is late is still an answer.
+    ChoiceQuery query = QueryFor(found->second);
+    query.mustMeetTarget = false;
+    const Member* member =
+      choice_.Choose(membership_->Table(), membership_->Self(), query, context_.loop.Now());
     if (member != nullptr && budgets_.For(found->second.service).Spend()) {
       LogRequest(LogPart::Calls,
                  LogLevel::Info,
--- a/test/correctness/CallersNodeRepeatsSafely.cpp
+++ b/test/correctness/CallersNodeRepeatsSafely.cpp
@@ -201,6 +201,24 @@
   cr_assert(bench.answers[0].outcome == CallOutcome::Ran);
 }
 
+Test(callers_node, asks_a_second_upstream_also_when_the_target_has_passed)
+{
+  Bench bench;
+  bench.settings.choice = ChoiceName::EarliestFinish;
+  bench.calls = &AddTo<CallsService>(bench.registry, ServiceName::Front, bench.context, 3u);
+  cr_assert(bench.calls->Start().ok());
+  Configuration configuration = MakeFirstConfiguration();
+  for (auto& [name, policy] : configuration.policies) {
+    policy.spec.targetMs = 1;
+  }
+  bench.releases->Set(configuration);
+  bench.Begin("GET");
+  Timer late = bench.loop.After(milliseconds(20), [&] { bench.loop.Stop(); });
+  bench.loop.Run();
+  bench.calls->AskElsewhere();
+  cr_assert_eq(bench.sent.size(), 2);
+}
+
 Test(callers_node, never_asks_a_second_upstream_for_a_deposit_in_progress)
 {
   Bench bench;
