A fault soak: real processes, a seeded schedule of overlapping faults, promises checked from outside

Nodes are killed, frozen, stopped (twice at times) and restarted by signals; the store is down, slow or loses answers; the link between the regions is cut or goes silent; upstreams slow down; notes change the configuration. Callers keep their connections. Checked: deposits run once at most, "not run" is true, answers are the caller's own, no version older within a process, planned stops end with 0 and cut nothing that was passed on, every front serves within 15 s after the faults.

--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -29,6 +29,7 @@
 {
   CallResult call;
   call.isAnswered = aResult.outcome == HttpOutcome::Answered;
+  call.isLost = aResult.outcome == HttpOutcome::Lost;
   call.status = aResult.response.status;
   call.outcome = FindHeader(aResult.response.headers, kOutcomeHeader);
   call.error = FindHeader(aResult.response.headers, "dandelion-error");
@@ -292,6 +293,17 @@
   return hasEnded && WIFEXITED(state) ? WEXITSTATUS(state) : -1;
 }
 
+std::optional<int> Cluster::ExitCode(int aNode)
+{
+  pid_t& pid = nodes_[static_cast<size_t>(aNode)].node;
+  int state = 0;
+  if (waitpid(pid, &state, WNOHANG) != pid) {
+    return std::nullopt;
+  }
+  pid = 0;
+  return WIFEXITED(state) ? WEXITSTATUS(state) : -1;
+}
+
 void Cluster::SetStoreFaults(const std::string& aJson)
 {
   Ask({ prefix_ + "250", 2379 }, HttpRequest{ "POST", "/control", {}, aJson }, kAskLimit);
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -34,6 +34,8 @@
 struct CallResult
 {
   bool isAnswered = false;
+  /// The request may have arrived, the answer did not arrive whole.
+  bool isLost = false;
   int status = 0;
   std::string outcome;
   std::string error;
@@ -75,6 +77,8 @@
   void Terminate(int aNode);
   /// Waits for the process to end; its exit code.
   int WaitForExit(int aNode);
+  /// The exit code of a process that has ended by now; -1 where a signal ended it.
+  std::optional<int> ExitCode(int aNode);
 
   /// Posts faults to the store's or the link's stand-in.
   void SetStoreFaults(const std::string& aJson);
--- /dev/null
+++ b/test/support/Soak.h
@@ -0,0 +1,91 @@
+/// A soak: real processes under a seeded schedule of faults, and what callers and upstreams must
+/// see all the while.
+#ifndef DANDELION_TEST_SUPPORT_SOAK_H
+#define DANDELION_TEST_SUPPORT_SOAK_H
+
+#include "support/Cluster.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace dandelion::testing {
+
+struct SoakPlan
+{
+  uint64_t seed = 1;
+  int nodes = 6;
+  /// Faults begin within this time; then all is healed.
+  Duration length = seconds(8);
+};
+
+class Soak
+{
+public:
+  explicit Soak(const SoakPlan& aPlan);
+
+  /// Plays the schedule. Every broken promise is one line; none where all were kept.
+  std::vector<std::string> Run();
+
+private:
+  enum class Fault
+  {
+    KillNode,
+    FreezeNode,
+    StopNode,
+    StoreDown,
+    StoreSlow,
+    StoreLosesAnswers,
+    CutLink,
+    SilenceLink,
+    SlowUpstream,
+    ChangeConfiguration,
+  };
+  /// One process beside its upstream, and what was done to it.
+  struct Place
+  {
+    bool isDown = false;
+    bool isFrozen = false;
+    bool isStopping = false;
+    /// The newest version that this process has shown.
+    int64_t version = 0;
+  };
+  struct Sent
+  {
+    int front = 0;
+    bool mayRunTwice = false;
+    /// The front's process was killed or frozen meanwhile, so a broken connection proves nothing.
+    bool isExcused = false;
+    bool isDone = false;
+    CallResult result;
+  };
+
+  void BeginCalls(int aFront);
+  void SendNext(int aFront, bool aMayRunTwice);
+  void Inject(Fault aFault);
+  void Stop(int aNode);
+  void ReapStopped();
+  void Revive(int aNode);
+  void Excuse(int aNode);
+  void Heal();
+  void CheckVersions();
+  void CheckCalls();
+  void CheckService();
+  int AnyNode() { return static_cast<int>(random_() % static_cast<uint64_t>(plan_.nodes)); }
+  void Break(const std::string& aPromise) { broken_.push_back(aPromise); }
+
+  SoakPlan plan_;
+  std::mt19937_64 random_;
+  Cluster cluster_;
+  std::vector<Place> places_;
+  std::map<std::string, Sent> sent_;
+  bool isOver_ = false;
+  int nextCall_ = 0;
+  int nextNote_ = 0;
+  std::vector<std::string> broken_;
+  std::vector<std::string> schedule_;
+};
+
+} // namespace dandelion::testing
+
+#endif
