Log where a version comes from, what the store answered, and who the relays are

Before, the log of a late node did not tell a watch that no longer answers from a peer that does not push. New lines: each read of the configuration with its revision and duration, the age of a watch at its end, which peer delivered which version, when the store is read for a known version, and, on change, whether and why the node follows the store and who its relays are.

--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -1,5 +1,7 @@
 #include "dandeliond/SpreadingService.h"
 
+#include "absl/strings/str_join.h"
+
 #include <algorithm>
 
 namespace dandelion {
@@ -34,6 +36,12 @@
          aA.atNewest == aB.atNewest && aA.missing == aB.missing;
 }
 
+std::string IdsOf(const std::vector<const Member*>& aMembers)
+{
+  auto appendId = [](std::string* aText, const Member* aMember) { aText->append(aMember->id); };
+  return absl::StrJoin(aMembers, ", ", appendId);
+}
+
 } // namespace
 
 SpreadingService::SpreadingService(const NodeContext& aContext, uint64_t aSeed)
@@ -135,10 +143,31 @@
   // can announce. The relays of a region that has lost contact to the store's region do the same.
   bool isRegionIsolated = aNow - lastStoreRegionContact_ > kRegionIsolationTimeout && IsRelay();
   bool mustReadStore = !TracksProgress() && (membership_->IsIsolated(aNow) || isRegionIsolated);
-  if (mustReadStore || WatchesStore(membership_->Table(), self, KnownStoreRegion())) {
-    log_->Follow();
-  } else {
+  FollowReason reason = FollowReason::None;
+  if (WatchesStore(membership_->Table(), self, KnownStoreRegion())) {
+    reason = FollowReason::Watcher;
+  } else if (mustReadStore) {
+    reason = FollowReason::Isolated;
+  }
+  if (reason == FollowReason::None) {
     log_->Unfollow();
+  } else {
+    log_->Follow();
+  }
+  LogRole(reason);
+}
+
+void SpreadingService::LogRole(FollowReason aReason)
+{
+  const Member& self = membership_->Self();
+  std::string role =
+    fmt::format("Follows the store: {}. Relays of the zone: {}; of the region: {}.",
+                NameOf(aReason),
+                IdsOf(RelaysOfZone(membership_->Table(), self.zone)),
+                IdsOf(RelaysOfRegion(membership_->Table(), self.region)));
+  if (role != loggedRole_) {
+    loggedRole_ = role;
+    Log(LogPart::Spreading, LogLevel::Info, "{}", role);
   }
 }
 
@@ -205,7 +234,14 @@
                      ToText(aPull.peer));
                  links_->Send(links_->Open(aPull.peer, Lane::Control), PullEntries{ aPull.after });
                },
-               [&](const PullFromStore&) { ReadStore(); },
+               [&](const PullFromStore&) {
+                 Log(LogPart::Spreading,
+                     LogLevel::Info,
+                     "Version {} is known, version {} is in force; reading the store.",
+                     catchUp_.HighestSeen(),
+                     releases_->Current()->version);
+                 ReadStore();
+               },
              },
              *effect);
 }
@@ -265,18 +301,21 @@
     Overloaded{
       [&](const PullEntries& aPull) { OnPull(aLink, aPull); },
       [&](const EntriesDelivery& aDelivery) {
+        LogDelivery(aLink, aDelivery.entries.empty() ? 0 : aDelivery.entries.back().version);
         absl::Status status = releases_->ApplyEntries(aDelivery.entries);
         if (KindOf(status) == ErrorKind::VersionGap && !aDelivery.entries.empty()) {
           catchUp_.OnVersionRequired(aDelivery.entries.back().version);
         }
       },
       [&](const DeltasDelivery& aDelivery) {
+        LogDelivery(aLink, aDelivery.deltas.empty() ? 0 : aDelivery.deltas.back().version);
         absl::Status status = releases_->ApplyDeltas(aDelivery.deltas);
         if (!status.ok() && !aDelivery.deltas.empty()) {
           catchUp_.OnVersionRequired(aDelivery.deltas.back().version);
         }
       },
       [&](const SnapshotDelivery& aDelivery) {
+        LogDelivery(aLink, aDelivery.configuration.version);
         (void)releases_->ApplySnapshot(aDelivery.configuration, aDelivery.hash);
       },
       [&](const ProgressQuery& aQuery) {
@@ -291,6 +330,17 @@
     aMessage);
 }
 
+void SpreadingService::LogDelivery(LinkId aLink, Version aVersion) const
+{
+  std::optional<Endpoint> peer = links_->PeerOf(aLink);
+  Log(LogPart::Spreading,
+      LogLevel::Info,
+      "{} delivered versions up to {}; version {} is in force.",
+      peer.has_value() ? ToText(*peer) : "A peer",
+      aVersion,
+      releases_->Current()->version);
+}
+
 void SpreadingService::OnLinkClosed(LinkId aLink, const std::vector<LinkMessage>& /* aUnsent */)
 {
   std::vector<uint64_t> lost;
--- a/src/dandeliond/SpreadingService.h
+++ b/src/dandeliond/SpreadingService.h
@@ -9,6 +9,24 @@
 
 namespace dandelion {
 
+/// Why a node follows the store itself.
+enum class FollowReason
+{
+  None,
+  Watcher,
+  Isolated,
+};
+
+template<>
+struct EnumNames<FollowReason>
+{
+  static constexpr EnumName<FollowReason> kTable[] = {
+    { FollowReason::None, "no" },
+    { FollowReason::Watcher, "watcher of its zone" },
+    { FollowReason::Isolated, "isolated" },
+  };
+};
+
 class SpreadingService
   : public Service
   , public Spreading
@@ -47,6 +65,8 @@
   void OnVersionInForce();
   void OnMembersChanged();
   void UpdateFollowing(TimePoint aNow);
+  /// Logs whether the node follows the store and who its relays are, when this has changed.
+  void LogRole(FollowReason aReason);
   /// Whether the nodes of this environment track where a version is in force.
   bool TracksProgress() const;
   std::string KnownStoreRegion() const;
@@ -58,6 +78,7 @@
   void ReadStore();
   void OnStoreRead(const absl::Status& aStatus);
   void OnPull(LinkId aLink, const PullEntries& aPull);
+  void LogDelivery(LinkId aLink, Version aVersion) const;
   void ReportVersion(TimePoint aNow);
   void ReportZone(TimePoint aNow);
   void MaybeCompact();
@@ -87,6 +108,7 @@
   TimePoint nextZoneReport_;
   TimePoint nextStorePoll_;
   TimePoint lastStoreRegionContact_;
+  std::string loggedRole_;
   bool isReadingStore_ = false;
   bool isRepairing_ = false;
   bool isCompacting_ = false;
--- a/src/dandeliond/StoredConfigurationService.cpp
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -53,6 +53,12 @@
         done(aResult.status());
         return;
       }
+      Log(LogPart::Store,
+          LogLevel::Info,
+          "Key {} was read at revision {} after {} ms.",
+          key_,
+          aResult->revision,
+          ToMilliseconds(context_.loop.Now() - sentAt));
       revision_ = std::max(revision_, aResult->revision);
       done(aResult->items.empty() ? absl::OkStatus() : ApplyItem(aResult->items.front()));
     });
@@ -72,6 +78,10 @@
         MessageOf(configuration.status()));
     return configuration.status();
   }
+  if (configuration->version <= releases_->Current()->version) {
+    return absl::OkStatus();
+  }
+  Log(LogPart::Releases, LogLevel::Info, "The store holds version {}.", configuration->version);
   return releases_->ApplySnapshot(*configuration, HashOf(*configuration));
 }
 
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -315,7 +315,7 @@
 {
   WatchId id = nextWatch_++;
   watches_[id] =
-    WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0, {} };
+    WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0, {}, {} };
   RenewWatch(id);
   return id;
 }
@@ -323,6 +323,7 @@
 void KeyValueStore::RenewWatch(WatchId aId)
 {
   WatchState& watch = watches_.at(aId);
+  watch.sentAt = loop_.Now();
   std::string target = fmt::format("/v1/kv-watch?path-prefix={}&after={}&wait-ms={}",
                                    PercentEncode(watch.prefix),
                                    watch.revision,
@@ -348,9 +349,10 @@
     // revision. The owner of the watch reads again and starts a new one.
     Log(LogPart::Store,
         LogLevel::Info,
-        "The watch of \"{}\" after revision {} has ended: {}.",
+        "The watch of \"{}\" after revision {} has ended {} ms after its last request: {}.",
         found->second.prefix,
         found->second.revision,
+        ToMilliseconds(loop_.Now() - found->second.sentAt),
         aReply.ok() ? fmt::format("the store answered with status {}", aReply->status)
                     : MessageOf(aReply.status()));
     auto onEnd = std::move(found->second.onEnd);
--- a/src/platform/KeyValueStore.h
+++ b/src/platform/KeyValueStore.h
@@ -55,6 +55,8 @@
     OnEvents onEvents;
     std::function<void()> onEnd;
     HttpClient::RequestId request = 0;
+    /// When the latest request of the watch was sent.
+    TimePoint sentAt;
     Timer pauseTimer;
   };
 
