A node asks the store when nothing confirms its version

Cause: silence was taken for "no change". All watches were renewed together, went silent together and were given up 6 s after they were sent, then read 0.5 s later. All other nodes hear from the watchers only, and a region looked for the store itself only after 4 s without contact, judged by any member of the store's region, whether it knew anything or not.

A version now counts as the newest only while it is confirmed: by an answer of the store, passed on by datagrams along the tree of relays, at most 1.7 s old. A node without a confirmation follows the store itself, with no message having to arrive. Watches are renewed every 0.8 s and given up 0.5 s later, and the store is read at once then, over a connection that has just answered or a new one. The timeouts for isolated nodes and regions are gone, as the age of the confirmation covers both.

--- a/src/dandeliond/MembershipService.h
+++ b/src/dandeliond/MembershipService.h
@@ -22,7 +22,6 @@
   const Member& Self() const override { return detector_.Self(); }
   bool IsReady() const override { return isReady_; }
   bool IsFenced(TimePoint aNow) const override;
-  bool IsIsolated(TimePoint aNow) const override { return detector_.IsIsolated(aNow); }
   std::vector<const Member*> RolloutMembersInZone(TimePoint aNow) const override
   {
     return detector_.RolloutMembersInZone(aNow);
--- a/src/dandeliond/ReleaseLogService.cpp
+++ b/src/dandeliond/ReleaseLogService.cpp
@@ -334,7 +334,7 @@
       retryTimer_ = context_.loop.After(kWatchRetryDelay, [this] { StartWatch(); });
       return;
     }
-    auto onEvents = [this](const std::vector<KeyValue>& aItems) { OnWatchEvents(aItems); };
+    auto onEvents = [this](const WatchEvents& aEvents) { OnWatchEvents(aEvents.items); };
     auto onEnd = [this] {
       watch_.reset();
       retryTimer_ = context_.loop.After(kWatchRetryDelay, [this] { StartWatch(); });
--- a/src/dandeliond/ReleaseLogService.h
+++ b/src/dandeliond/ReleaseLogService.h
@@ -25,6 +25,7 @@
   void Repair(OnDone aDone) override;
   void Follow() override;
   void Unfollow() override;
+  void OnConfirmed(std::function<void(TimePoint)> /* aListener */) override {}
   void Compact(OnDone aDone) override;
 
 private:
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -83,6 +83,9 @@
   /// Watches the log until `Unfollow` and applies new entries to the replica.
   virtual void Follow() = 0;
   virtual void Unfollow() = 0;
+  /// Adds a listener that is called when the store has shown that this node's version was the
+  /// newest one at a time. Only logs of which progress is not tracked call it.
+  virtual void OnConfirmed(std::function<void(TimePoint aAsOf)> aListener) = 0;
   /// Writes a snapshot of the current configuration and deletes old notes that it covers.
   virtual void Compact(OnDone aDone) = 0;
 };
@@ -115,8 +118,6 @@
   virtual void OnStoreAnswered(TimePoint aAskedAt) = 0;
   /// The store does not answer this node.
   virtual void OnStoreLost() = 0;
-  /// Whether no member has answered recently.
-  virtual bool IsIsolated(TimePoint aNow) const = 0;
 };
 
 /// `ServiceName::Spreading`: distributes versions to nodes and tracks their rollout.
--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Duration kTickPeriod = milliseconds(50);
+constexpr Duration kTickPeriod = kFreshnessCheckPeriod;
 constexpr Duration kReportRetryDelay = milliseconds(200);
 constexpr Duration kMaxReportRetryDelay = seconds(5);
 /// Time between two reports of a relay to the relays of all zones while its zone's counts change.
@@ -20,10 +20,6 @@
 constexpr Duration kStorePollPeriod = seconds(10);
 /// A relay without contact to the store's region for this long polls the store itself.
 constexpr Duration kStoreRegionTimeout = seconds(10);
-/// Where progress is not tracked, a relay follows the store itself after this long without contact
-/// to the store's region. A version usually arrives by push or watch within this time, and relays
-/// of different regions probe each other about once per second.
-constexpr Duration kRegionIsolationTimeout = seconds(4);
 /// On the platform, a node that is behind waits this long for a push before it pulls the version.
 constexpr Duration kPushWait = milliseconds(250);
 constexpr Duration kProgressRequestTimeout = seconds(2);
@@ -49,6 +45,7 @@
   , random_(aSeed)
   , catchUp_(aContext.settings.environment == EnvironmentName::Platform ? kPushWait
                                                                         : Duration::zero())
+  , freshness_(aContext.loop.Now())
 {
 }
 
@@ -76,6 +73,11 @@
   membership_->OnVersionSeen(onVersionSeen);
   membership_->AddListener([this] { OnMembersChanged(); });
   releases_->AddListener([this] { OnVersionInForce(); });
+  log_->OnConfirmed([this](TimePoint aAsOf) {
+    if (membership_->IsReady()) {
+      SendConfirmation(aAsOf, ConfirmationTargets());
+    }
+  });
   Tick();
   return absl::OkStatus();
 }
@@ -90,7 +92,10 @@
 {
   TimePoint now = context_.loop.Now();
   AdvanceCatchUp();
-  if (membership_->IsReady()) {
+  if (!membership_->IsReady()) {
+    // Joining includes asking the store or several members for their version.
+    freshness_.OnConfirmed(releases_->Current()->version, now);
+  } else {
     UpdateFollowing(now);
     if (TracksProgress()) {
       ReportVersion(now);
@@ -107,6 +112,7 @@
   Version version = releases_->Current()->version;
   links_->SetVersion(version);
   catchUp_.OnVersionInForce(version, context_.loop.Now());
+  freshness_.OnVersionInForce(version);
   PushVersion();
   for (auto& [relay, report] : reports_) {
     report.sends = 0;
@@ -139,15 +145,11 @@
 void SpreadingService::UpdateFollowing(TimePoint aNow)
 {
   const Member& self = membership_->Self();
-  // An isolated node follows the store itself, because the store may hold a version that no peer
-  // can announce. The relays of a region that has lost contact to the store's region do the same.
-  bool isRegionIsolated = aNow - lastStoreRegionContact_ > kRegionIsolationTimeout && IsRelay();
-  bool mustReadStore = !TracksProgress() && (membership_->IsIsolated(aNow) || isRegionIsolated);
   FollowReason reason = FollowReason::None;
   if (WatchesStore(membership_->Table(), self, KnownStoreRegion())) {
     reason = FollowReason::Watcher;
-  } else if (mustReadStore) {
-    reason = FollowReason::Isolated;
+  } else if (!TracksProgress() && !freshness_.IsConfirmed(aNow)) {
+    reason = FollowReason::Unconfirmed;
   }
   if (reason == FollowReason::None) {
     log_->Unfollow();
@@ -157,6 +159,51 @@
   LogRole(reason);
 }
 
+std::vector<const Member*> SpreadingService::ConfirmationTargets() const
+{
+  const MemberTable& table = membership_->Table();
+  std::vector<const Member*> targets = PushTargets(table, membership_->Self(), KnownStoreRegion());
+  // A node that only asks the store for itself has nobody to push to; the relays pass it on.
+  for (const Member* relay : EntryForwardTargets(table, membership_->Self())) {
+    if (!ContainsMember(targets, relay->id)) {
+      targets.push_back(relay);
+    }
+  }
+  return targets;
+}
+
+void SpreadingService::SendConfirmation(TimePoint aAsOf, const std::vector<const Member*>& aTargets)
+{
+  if (!freshness_.ShouldSend(aAsOf)) {
+    return;
+  }
+  VersionConfirmation confirmation{ context_.settings.id,
+                                    releases_->Current()->version,
+                                    ToMilliseconds(context_.loop.Now() - aAsOf) };
+  for (const Member* target : aTargets) {
+    datagrams_->Send(EndpointOf(*target), confirmation);
+  }
+}
+
+void SpreadingService::OnConfirmation(const Endpoint& aFrom,
+                                      const VersionConfirmation& aConfirmation)
+{
+  bool isUsable =
+    aConfirmation.ageMs >= 0 && aConfirmation.ageMs <= ToMilliseconds(kMaxUnconfirmedTime);
+  if (!isUsable) {
+    return;
+  }
+  TimePoint asOf = context_.loop.Now() - milliseconds(aConfirmation.ageMs);
+  freshness_.OnConfirmed(aConfirmation.version, asOf);
+  const Member* sender = membership_->Table().Find(aConfirmation.sender);
+  catchUp_.OnVersionSeen(sender == nullptr ? aFrom : EndpointOf(*sender), aConfirmation.version);
+  AdvanceCatchUp();
+  if (membership_->IsReady() && aConfirmation.version == releases_->Current()->version) {
+    SendConfirmation(asOf,
+                     PushTargets(membership_->Table(), membership_->Self(), KnownStoreRegion()));
+  }
+}
+
 void SpreadingService::LogRole(FollowReason aReason)
 {
   const Member& self = membership_->Self();
@@ -364,21 +411,23 @@
 
 void SpreadingService::OnDatagram(const Endpoint& aFrom, const Datagram& aDatagram)
 {
-  std::visit(Overloaded{
-               [&](const VersionReport& aReport) {
-                 membership_->OnVersionReported(aReport.sender, aReport.version);
-                 datagrams_->Send(aFrom, VersionReportAck{ context_.settings.id, aReport.version });
-                 catchUp_.OnVersionSeen(aFrom, aReport.version);
-                 AdvanceCatchUp();
-               },
-               [&](const VersionReportAck& aAck) {
-                 ReportState& report = reports_[aAck.sender];
-                 report.acknowledged = std::max(report.acknowledged, aAck.version);
-               },
-               [&](const ZoneReport& aReport) { rollout_.OnReport(aReport, context_.loop.Now()); },
-               [](const auto&) {},
-             },
-             aDatagram);
+  std::visit(
+    Overloaded{
+      [&](const VersionReport& aReport) {
+        membership_->OnVersionReported(aReport.sender, aReport.version);
+        datagrams_->Send(aFrom, VersionReportAck{ context_.settings.id, aReport.version });
+        catchUp_.OnVersionSeen(aFrom, aReport.version);
+        AdvanceCatchUp();
+      },
+      [&](const VersionReportAck& aAck) {
+        ReportState& report = reports_[aAck.sender];
+        report.acknowledged = std::max(report.acknowledged, aAck.version);
+      },
+      [&](const ZoneReport& aReport) { rollout_.OnReport(aReport, context_.loop.Now()); },
+      [&](const VersionConfirmation& aConfirmation) { OnConfirmation(aFrom, aConfirmation); },
+      [](const auto&) {},
+    },
+    aDatagram);
 }
 
 void SpreadingService::ReportVersion(TimePoint aNow)
--- a/src/dandeliond/SpreadingService.h
+++ b/src/dandeliond/SpreadingService.h
@@ -14,7 +14,7 @@
 {
   None,
   Watcher,
-  Isolated,
+  Unconfirmed,
 };
 
 template<>
@@ -23,7 +23,7 @@
   static constexpr EnumName<FollowReason> kTable[] = {
     { FollowReason::None, "no" },
     { FollowReason::Watcher, "watcher of its zone" },
-    { FollowReason::Isolated, "isolated" },
+    { FollowReason::Unconfirmed, "its version was not confirmed" },
   };
 };
 
@@ -62,6 +62,10 @@
 
   void Tick();
   void OnDatagram(const Endpoint& aFrom, const Datagram& aDatagram);
+  void OnConfirmation(const Endpoint& aFrom, const VersionConfirmation& aConfirmation);
+  void SendConfirmation(TimePoint aAsOf, const std::vector<const Member*>& aTargets);
+  /// The members to which this node passes on what the store has confirmed to it.
+  std::vector<const Member*> ConfirmationTargets() const;
   void OnVersionInForce();
   void OnMembersChanged();
   void UpdateFollowing(TimePoint aNow);
@@ -95,6 +99,7 @@
   const NodeContext& context_;
   std::mt19937_64 random_;
   CatchUp catchUp_;
+  Freshness freshness_;
   RolloutTracker rollout_;
   Datagrams* datagrams_ = nullptr;
   Links* links_ = nullptr;
--- a/src/dandeliond/StoredConfigurationService.cpp
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -4,8 +4,11 @@
 
 namespace {
 
-/// Time between reads of an unreachable store on each node that follows it.
+/// Time from a failed read, or from the start of a watch, to the next read on each node that
+/// follows the store.
 constexpr Duration kWatchRetryDelay = milliseconds(500);
+/// The same after several failed reads, as all nodes may follow a store that is down.
+constexpr Duration kMaxWatchRetryDelay = seconds(1);
 /// The same on a node that no longer follows it.
 constexpr Duration kUnwatchedRetryDelay = seconds(2);
 
@@ -33,35 +36,39 @@
   ReadRequest request;
   request.key = key_;
   TimePoint sentAt = context_.loop.Now();
-  store_->Read(
-    request, [this, sentAt, done = std::move(aDone)](const absl::StatusOr<ReadResult>& aResult) {
-      if (aResult.ok() != isReachable_) {
-        isReachable_ = aResult.ok();
-        Log(LogPart::Store,
-            isReachable_ ? LogLevel::Info : LogLevel::Warning,
-            "The store is {}: {}.",
-            isReachable_ ? "back" : "lost",
-            isReachable_ ? "it answers" : MessageOf(aResult.status()));
-        if (!isReachable_) {
-          membership_->OnStoreLost();
-        }
-      }
-      if (aResult.ok()) {
-        membership_->OnStoreAnswered(sentAt);
-      }
-      if (!aResult.ok()) {
-        done(aResult.status());
-        return;
-      }
-      Log(LogPart::Store,
-          LogLevel::Info,
-          "Key {} was read at revision {} after {} ms.",
-          key_,
-          aResult->revision,
-          ToMilliseconds(context_.loop.Now() - sentAt));
-      revision_ = std::max(revision_, aResult->revision);
-      done(aResult->items.empty() ? absl::OkStatus() : ApplyItem(aResult->items.front()));
-    });
+  store_->Read(request,
+               [this, sentAt, done = std::move(aDone)](const absl::StatusOr<ReadResult>& aResult) {
+                 if (aResult.ok() != isReachable_) {
+                   isReachable_ = aResult.ok();
+                   Log(LogPart::Store,
+                       isReachable_ ? LogLevel::Info : LogLevel::Warning,
+                       "The store is {}: {}.",
+                       isReachable_ ? "back" : "lost",
+                       isReachable_ ? "it answers" : MessageOf(aResult.status()));
+                   if (!isReachable_) {
+                     membership_->OnStoreLost();
+                   }
+                 }
+                 if (aResult.ok()) {
+                   membership_->OnStoreAnswered(sentAt);
+                 }
+                 if (!aResult.ok()) {
+                   done(aResult.status());
+                   return;
+                 }
+                 Log(LogPart::Store,
+                     LogLevel::Info,
+                     "Key {} was read at revision {} after {} ms.",
+                     key_,
+                     aResult->revision,
+                     ToMilliseconds(context_.loop.Now() - sentAt));
+                 revision_ = std::max(revision_, aResult->revision);
+                 absl::Status status =
+                   aResult->items.empty() ? absl::OkStatus() : ApplyItem(aResult->items.front());
+                 holdsNewest_ = status.ok();
+                 Confirm(sentAt);
+                 done(status);
+               });
 }
 
 absl::Status StoredConfigurationService::ApplyItem(const KeyValue& aItem)
@@ -85,6 +92,16 @@
   return releases_->ApplySnapshot(*configuration, HashOf(*configuration));
 }
 
+void StoredConfigurationService::Confirm(TimePoint aAsOf)
+{
+  if (!holdsNewest_) {
+    return;
+  }
+  for (const auto& listener : confirmedListeners_) {
+    listener(aAsOf);
+  }
+}
+
 void StoredConfigurationService::ReadHead(std::function<void(const absl::StatusOr<Version>&)> aDone)
 {
   Synchronize([this, done = std::move(aDone)](const absl::Status& aStatus) {
@@ -134,33 +151,46 @@
     return;
   }
   isReading_ = true;
+  startedAt_ = context_.loop.Now();
   Synchronize([this](const absl::Status& aStatus) {
     isReading_ = false;
     if (!aStatus.ok() && KindOf(aStatus) == ErrorKind::StoreUnavailable) {
+      ++failedReads_;
       RetryWatch();
       return;
     }
+    failedReads_ = 0;
     if (!isFollowing_ || watch_.has_value()) {
       return;
     }
-    auto onEvents = [this](const std::vector<KeyValue>& aItems) {
-      // Only the newest configuration is applied; the others were never in force on this node.
-      if (!aItems.empty()) {
-        // `ApplyItem` logs why it rejects a configuration.
-        (void)ApplyItem(aItems.back());
-      }
-    };
+    auto onEvents = [this](const WatchEvents& aEvents) { OnWatchEvents(aEvents); };
     auto onEnd = [this] {
       watch_.reset();
-      RetryWatch();
+      // The store is read at once, unless watches end as soon as they begin.
+      Duration wait = startedAt_ + kWatchRetryDelay - context_.loop.Now();
+      retryTimer_ = context_.loop.After(std::max(wait, Duration::zero()), [this] { StartWatch(); });
     };
     watch_ = store_->Watch(key_, revision_, onEvents, onEnd);
   });
 }
 
+void StoredConfigurationService::OnWatchEvents(const WatchEvents& aEvents)
+{
+  // Only the newest configuration is applied; the others were never in force on this node.
+  if (!aEvents.items.empty()) {
+    holdsNewest_ = ApplyItem(aEvents.items.back()).ok();
+  }
+  if (aEvents.asOf.has_value()) {
+    Confirm(*aEvents.asOf);
+  }
+}
+
 void StoredConfigurationService::RetryWatch()
 {
-  Duration delay = isFollowing_ ? kWatchRetryDelay : kUnwatchedRetryDelay;
+  Duration delay = failedReads_ > 1 ? kMaxWatchRetryDelay : kWatchRetryDelay;
+  if (!isFollowing_) {
+    delay = kUnwatchedRetryDelay;
+  }
   retryTimer_ = context_.loop.After(delay, [this] { StartWatch(); });
 }
 
--- a/src/dandeliond/StoredConfigurationService.h
+++ b/src/dandeliond/StoredConfigurationService.h
@@ -26,10 +26,18 @@
   void Repair(OnDone aDone) override { aDone(absl::OkStatus()); }
   void Follow() override;
   void Unfollow() override;
+  void OnConfirmed(std::function<void(TimePoint)> aListener) override
+  {
+    confirmedListeners_.push_back(std::move(aListener));
+  }
   void Compact(OnDone aDone) override { aDone(absl::OkStatus()); }
 
 private:
   absl::Status ApplyItem(const KeyValue& aItem);
+  void OnWatchEvents(const WatchEvents& aEvents);
+  /// Tells the listeners that this node held the newest version at `aAsOf`, unless it has rejected
+  /// the one in the store.
+  void Confirm(TimePoint aAsOf);
   void StartWatch();
   void RetryWatch();
 
@@ -44,6 +52,13 @@
   bool isReading_ = false;
   /// Whether the store answered the latest read.
   bool isReachable_ = true;
+  /// Whether the configuration that was last read from the store was not rejected.
+  bool holdsNewest_ = true;
+  /// Reads in a row without an answer of the store.
+  int failedReads_ = 0;
+  /// When the latest read before a watch began.
+  TimePoint startedAt_;
+  std::vector<std::function<void(TimePoint)>> confirmedListeners_;
   std::optional<Store::WatchId> watch_;
   Timer retryTimer_;
 };
--- a/src/membership/FailureDetector.cpp
+++ b/src/membership/FailureDetector.cpp
@@ -13,8 +13,6 @@
 constexpr size_t kIndirectProbes = 3;
 /// Number of zone members that receive urgent records immediately, before the next probe.
 constexpr size_t kImmediateFanout = 8;
-/// Without an answer for this long, a probe and the one after it have failed.
-constexpr Duration kIsolationTimeout = milliseconds(1800);
 constexpr size_t kRelaysPerZone = 2;
 /// A process that did not run for this long discards its pending probes and restarts the timeouts
 /// of all members, instead of marking members suspect or gone.
@@ -176,11 +174,6 @@
   return effects;
 }
 
-bool FailureDetector::IsIsolated(TimePoint aNow) const
-{
-  return aNow - lastAnsweredRequestAt_ > kIsolationTimeout;
-}
-
 void FailureDetector::RecordLivenessWitness(TimePoint aAskedAt)
 {
   lastAnsweredRequestAt_ = std::max(lastAnsweredRequestAt_, aAskedAt);
--- a/src/membership/FailureDetector.h
+++ b/src/membership/FailureDetector.h
@@ -81,8 +81,6 @@
   /// Whether nothing has been answered for half of the fence timeout, so that the store should be
   /// queried to show that the node is not cut off. Never true while no other member is known.
   bool NeedsLivenessWitness(TimePoint aNow) const;
-  /// Whether neither a member nor the store has answered for about two probe periods.
-  bool IsIsolated(TimePoint aNow) const;
   /// Records the version that another member reported.
   void OnVersionReported(const std::string& aId, uint64_t aVersion)
   {
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -12,6 +12,9 @@
 constexpr int kNotFound = 404;
 constexpr int kPreconditionFailed = 412;
 constexpr size_t kMaxKeysPerTransaction = 32;
+/// Connections may go silent without being closed. A call therefore reuses only a connection that
+/// has just answered; connecting again costs one round trip.
+constexpr Duration kMaxIdleTime = milliseconds(100);
 
 /// Percent-encodes a key for a query string. Slashes are not encoded.
 std::string PercentEncode(const std::string& aText)
@@ -132,7 +135,10 @@
     reply.body = Json::parse(aResult.response.body, nullptr, /*allow_exceptions=*/false);
     done(reply);
   };
-  return client_.Send(server_, request, aTimeout, onResult);
+  HttpSendOptions options;
+  options.timeout = aTimeout;
+  options.maxIdleTime = kMaxIdleTime;
+  return client_.Send(server_, request, options, onResult);
 }
 
 void KeyValueStore::Read(const ReadRequest& aRequest, OnRead aDone)
@@ -332,7 +338,7 @@
     SendRequest("GET",
                 target,
                 "",
-                timing_.renewalPeriod + timeout_,
+                timing_.renewalPeriod + timing_.answerMargin,
                 [this, aId](const absl::StatusOr<Reply>& aReply) { OnWatchReply(aId, aReply); });
 }
 
@@ -361,17 +367,18 @@
     return;
   }
   found->second.revision = std::max(found->second.revision, revision);
-  std::vector<KeyValue> items = ReadItems(aReply->body, "events");
-  if (!items.empty()) {
-    // The callback may cancel the watch.
-    OnEvents onEvents = found->second.onEvents;
-    onEvents(items);
-  }
+  // The store has answered at the latest at the end of its wait, even if this process was paused
+  // and reads the answer only now.
+  WatchEvents events{ ReadItems(aReply->body, "events"),
+                      std::min(loop_.Now(), found->second.sentAt + timing_.renewalPeriod) };
+  // The callback may cancel the watch.
+  OnEvents onEvents = found->second.onEvents;
+  onEvents(events);
   found = watches_.find(aId);
   if (found == watches_.end()) {
     return;
   }
-  if (items.empty()) {
+  if (events.items.empty()) {
     RenewWatch(aId);
   } else {
     found->second.pauseTimer =
--- a/src/platform/KeyValueStore.h
+++ b/src/platform/KeyValueStore.h
@@ -10,9 +10,11 @@
 /// Timing of a watch's requests.
 struct WatchTiming
 {
-  /// How long the store may hold a watch request before the watch is renewed. This limits how long
-  /// a dead connection can hide changes.
-  Duration renewalPeriod = seconds(5);
+  /// How long the store may hold a watch request before the watch is renewed.
+  Duration renewalPeriod = kWatchRenewalPeriod;
+  /// A request without an answer for this much longer is given up, so that a connection that has
+  /// gone silent cannot hide changes.
+  Duration answerMargin = kWatchAnswerMargin;
   /// Pause after each change, so that changes in quick succession are fetched together.
   Duration pauseAfterChange = milliseconds(300);
 };
--- a/src/wire/EtcdStore.cpp
+++ b/src/wire/EtcdStore.cpp
@@ -232,7 +232,7 @@
     for (const Json& line : TakeLines(*buffer)) {
       std::vector<KeyValue> written = ParsePutEvents(line);
       if (!written.empty()) {
-        onEvents(written);
+        onEvents(WatchEvents{ std::move(written) });
       }
     }
   };
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -196,7 +196,16 @@
   Version version = 0;
 };
 
-using Datagram = std::variant<Ping, Ack, PingRequest, VersionReport, VersionReportAck, ZoneReport>;
+/// Passes on that the store has shown `version` to be the newest one `ageMs` ago.
+struct VersionConfirmation
+{
+  std::string sender;
+  Version version = 0;
+  int64_t ageMs = 0;
+};
+
+using Datagram = std::
+  variant<Ping, Ack, PingRequest, VersionReport, VersionReportAck, ZoneReport, VersionConfirmation>;
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, Hello& aHello)
@@ -329,6 +338,14 @@
   aVisitor.Field("version", aAck.version);
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, VersionConfirmation& aConfirmation)
+{
+  aVisitor.Field("sender", aConfirmation.sender);
+  aVisitor.Field("version", aConfirmation.version);
+  aVisitor.Field("age_ms", aConfirmation.ageMs);
+}
+
 } // namespace dandelion
 
 #endif
--- a/src/wire/Store.h
+++ b/src/wire/Store.h
@@ -39,6 +39,14 @@
   bool hasMore = false;
 };
 
+struct WatchEvents
+{
+  /// The keys that were written, oldest first. Empty if there was no change.
+  std::vector<KeyValue> items;
+  /// The store had no later changes at this time. Not set if the store does not tell.
+  std::optional<TimePoint> asOf = {};
+};
+
 struct CreateRequest
 {
   std::string key;
@@ -56,7 +64,7 @@
   using OnRead = std::function<void(const absl::StatusOr<ReadResult>&)>;
   using OnCreated = std::function<void(AppendOutcome)>;
   using OnDone = std::function<void(const absl::Status&)>;
-  using OnEvents = std::function<void(const std::vector<KeyValue>&)>;
+  using OnEvents = std::function<void(const WatchEvents&)>;
 
   virtual ~Store() = default;
 
@@ -70,7 +78,8 @@
                    OnDone aDone) = 0;
   virtual void DeleteRange(const std::string& aFirst, const std::string& aEnd, OnDone aDone) = 0;
   /// Reports keys with `aPrefix` that are written after the revision, until the watch is cancelled
-  /// or ends. `aOnEnd` is called when the watch ends without being cancelled.
+  /// or ends. May also report that there was no change. `aOnEnd` is called when the watch ends
+  /// without being cancelled.
   virtual WatchId Watch(const std::string& aPrefix,
                         int64_t aAfterRevision,
                         OnEvents aOnEvents,
--- /dev/null
+++ b/test/property/StalenessIsBounded.cpp
@@ -0,0 +1,65 @@
+/// Guards against nodes that keep an older version for longer than `kApplyLimit` because nothing
+/// reaches them: watches, relays and links may fall silent at any time and in any order.
+#include "support/Check.h"
+
+#include "spread/Spread.h"
+
+using namespace dandelion;
+
+namespace {
+
+TimePoint At(int64_t aMilliseconds)
+{
+  return TimePoint(milliseconds(aMilliseconds));
+}
+
+} // namespace
+
+Test(freshness, node_asks_the_store_in_time_when_all_messages_stop)
+{
+  CHECK_PROPERTY("confirmations that stop at any time", [] {
+    Freshness freshness{ At(0) };
+    freshness.OnVersionInForce(7);
+    // Messages in any order: copies, delayed ones, and ones from members with an older version.
+    int64_t now = 0;
+    int64_t newest = 0;
+    int messages = *rc::gen::inRange(0, 60);
+    for (int i = 0; i < messages; ++i) {
+      now += *rc::gen::inRange<int64_t>(0, 900);
+      int64_t asOf = std::max<int64_t>(0, now - *rc::gen::inRange<int64_t>(0, 3000));
+      Version version = *rc::gen::element<Version>(5, 6, 7);
+      freshness.OnConfirmed(version, At(asOf));
+      newest = version == 7 ? std::max(newest, asOf) : newest;
+    }
+    // A later version may be accepted right after the newest confirmation.
+    TimePoint accepted = At(newest);
+    TimePoint check = At(now);
+    while (freshness.IsConfirmed(check)) {
+      check += kFreshnessCheckPeriod;
+    }
+    TimePoint latestUseful = accepted + kApplyLimit - kReadAllowance;
+    RC_ASSERT(check <= std::max(latestUseful, At(now)));
+  });
+}
+
+Test(freshness, later_version_counts_as_confirmed_only_once_it_is_in_force)
+{
+  Freshness freshness{ At(0) };
+  freshness.OnVersionInForce(7);
+  freshness.OnConfirmed(9, At(5000));
+  cr_assert_not(freshness.IsConfirmed(At(5000)));
+  freshness.OnVersionInForce(8);
+  cr_assert_not(freshness.IsConfirmed(At(5000)));
+  freshness.OnVersionInForce(9);
+  cr_assert(freshness.IsConfirmed(At(5000)));
+}
+
+/// Guards against datagrams that members pass to each other in a circle without end.
+Test(freshness, copies_of_one_confirmation_are_sent_once)
+{
+  Freshness freshness{ At(0) };
+  cr_assert(freshness.ShouldSend(At(1000)));
+  cr_assert_not(freshness.ShouldSend(At(1000)));
+  cr_assert_not(freshness.ShouldSend(At(900)));
+  cr_assert(freshness.ShouldSend(At(1000) + kMinConfirmationInterval));
+}
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -156,7 +156,6 @@
   void ContactSeeds(const std::vector<Endpoint>& /* aSeeds */) override {}
   void OnStoreAnswered(TimePoint /* aAskedAt */) override {}
   void OnStoreLost() override {}
-  bool IsIsolated(TimePoint /* aNow */) const override { return false; }
 
 private:
   std::string selfId_;
