A watch's newest configuration is applied whatever else it reports

Callers: a change that the store reports together with a key that begins like the configuration's was not applied until the next one (supposed from the code; the users' store holds no such key that we know). Cause: only the last event was looked at, and it was ignored if its key was another one. The newest event of the key itself is taken now. The test failed before: version 1 instead of 3.

--- a/src/dandeliond/StoredConfigurationService.cpp
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -1,5 +1,7 @@
 #include "dandeliond/StoredConfigurationService.h"
 
+#include <algorithm>
+
 namespace dandelion {
 
 namespace {
@@ -73,9 +75,6 @@
 
 absl::Status StoredConfigurationService::ApplyItem(const KeyValue& aItem)
 {
-  if (aItem.key != key_) {
-    return absl::OkStatus();
-  }
   auto configuration = reader_(aItem.value);
   if (!configuration.ok()) {
     Log(LogPart::Releases,
@@ -176,9 +175,12 @@
 
 void StoredConfigurationService::OnWatchEvents(const WatchEvents& aEvents)
 {
-  // Only the newest configuration is applied; the others were never in force on this node.
-  if (!aEvents.items.empty()) {
-    holdsNewest_ = ApplyItem(aEvents.items.back()).ok();
+  // Only the newest configuration is applied; the others were never in force on this node. A watch
+  // also reports keys that only begin like this one.
+  auto isConfiguration = [this](const KeyValue& aItem) { return aItem.key == key_; };
+  auto newest = std::find_if(aEvents.items.rbegin(), aEvents.items.rend(), isConfiguration);
+  if (newest != aEvents.items.rend()) {
+    holdsNewest_ = ApplyItem(*newest).ok();
   }
   if (aEvents.asOf.has_value()) {
     Confirm(*aEvents.asOf);
