A page of unreadable items of the store is passed over

Reported by other operators: one odd entry among the upstreams' list and the machines that read the list stop following it. Here, callers would meet nodes that cannot join: a page with only unreadable items was asked for again without end, as the next page began after the last readable item, or, without any readable item, the list ended early.

The next page begins after the highest key of the page, and only if that is a later one. Unreadable items are logged. The tests failed before: the read had not ended after 20 s (odd_entries/page_*). Odd reports and seeds (nesting, numbers and ports out of range, other types) were rejected already; the other tests of odd_entries show it.

--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -46,6 +46,12 @@
   return item;
 }
 
+/// Whether an event of a watch reports that a key was removed.
+bool IsTombstone(const Json& aItem)
+{
+  return aItem.is_object() && aItem.contains("tombstone");
+}
+
 std::vector<KeyValue> ReadItems(const Json& aBody, const char* aName)
 {
   std::vector<KeyValue> items;
@@ -56,11 +62,28 @@
     std::optional<KeyValue> item = ReadItem(entry);
     if (item.has_value()) {
       items.push_back(*std::move(item));
+    } else if (!IsTombstone(entry)) {
+      Log(LogPart::Store, LogLevel::Warning, "An item of the store cannot be read and is ignored.");
     }
   }
   return items;
 }
 
+/// The highest key of a page, also of items that cannot be read; empty if it has none.
+std::string LastKeyOf(const Json& aBody)
+{
+  std::string last;
+  if (!aBody.contains("items") || !aBody["items"].is_array()) {
+    return last;
+  }
+  for (const Json& item : aBody["items"]) {
+    if (item.is_object() && item.contains("key") && item["key"].is_string()) {
+      last = std::max(last, item["key"].get<std::string>());
+    }
+  }
+  return last;
+}
+
 bool IsTrue(const Json& aBody, const char* aName)
 {
   auto found = aBody.find(aName);
@@ -187,32 +210,32 @@
   if (!aAfter.empty()) {
     target += "&after=" + PercentEncode(aAfter);
   }
-  auto onReply = [this,
-                  aRequest,
-                  previousPages = std::move(aPreviousPages),
-                  done = std::move(aDone)](const absl::StatusOr<Reply>& aReply) {
-    if (!aReply.ok() || aReply->status != kOk) {
-      done(aReply.ok() ? Unavailable(aReply->status) : aReply.status());
-      return;
-    }
-    ReadResult result = previousPages;
-    for (KeyValue& item : ReadItems(aReply->body, "items")) {
-      result.items.push_back(std::move(item));
-    }
-    // The pages are not one consistent snapshot, so a watch starts after the revision of the first.
-    result.revision = result.revision == 0 ? ReadRevision(aReply->body) : result.revision;
-    if (!aReply->body.is_object()) {
-      done(MakeError(ErrorKind::BrokenMessage, "the store's answer is not a JSON object"));
-      return;
-    }
-    bool hasMore = IsTrue(aReply->body, "has-more") && !result.items.empty();
-    if (hasMore) {
-      std::string last = result.items.back().key;
-      ReadPage(aRequest, last, std::move(result), done);
-    } else {
-      done(result);
-    }
-  };
+  auto onReply =
+    [this, aRequest, aAfter, previousPages = std::move(aPreviousPages), done = std::move(aDone)](
+      const absl::StatusOr<Reply>& aReply) {
+      if (!aReply.ok() || aReply->status != kOk) {
+        done(aReply.ok() ? Unavailable(aReply->status) : aReply.status());
+        return;
+      }
+      ReadResult result = previousPages;
+      for (KeyValue& item : ReadItems(aReply->body, "items")) {
+        result.items.push_back(std::move(item));
+      }
+      // The pages are not one consistent snapshot, so a watch starts after the revision of the
+      // first.
+      result.revision = result.revision == 0 ? ReadRevision(aReply->body) : result.revision;
+      if (!aReply->body.is_object()) {
+        done(MakeError(ErrorKind::BrokenMessage, "the store's answer is not a JSON object"));
+        return;
+      }
+      std::string last = LastKeyOf(aReply->body);
+      bool hasMore = IsTrue(aReply->body, "has-more") && last > aAfter;
+      if (hasMore) {
+        ReadPage(aRequest, last, std::move(result), done);
+      } else {
+        done(result);
+      }
+    };
   SendRequest("GET", target, "", timeout_, onReply);
 }
 
