Deeply nested answers of other programs are errors

Reported by other operators: a very deeply nested entry among the upstreams' list ends the machines that read the list again and again. Here the list comes in an answer of the store, which was parsed without a limit; copying the value overflowed the stack, and the process ended (odd_entries/ deeply_nested_answer_of_the_store_is_an_error crashed before). The same held for the etcd client, the tool's answers and its reading of logs. All of them now refuse more than 32 levels before parsing, as settings, notes, reports and messages between nodes did already.

--- a/src/codec/JsonFields.cpp
+++ b/src/codec/JsonFields.cpp
@@ -6,6 +6,30 @@
 
 constexpr int kMaxNestingDepth = 32;
 
+/// Whether the brackets of a text nest too deeply. Copying a deeply nested value would overflow the
+/// stack.
+bool NestsTooDeeply(std::string_view aText)
+{
+  int depth = 0;
+  bool isInString = false;
+  for (size_t i = 0; i < aText.size(); ++i) {
+    char character = aText[i];
+    if (isInString && character == '\\') {
+      ++i;
+    } else if (character == '"') {
+      isInString = !isInString;
+    } else if (!isInString && (character == '[' || character == '{')) {
+      ++depth;
+    } else if (!isInString && (character == ']' || character == '}')) {
+      --depth;
+    }
+    if (depth > kMaxNestingDepth) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string DescribePath(const std::string& aPath)
 {
   return aPath.empty() ? "the text" : aPath;
@@ -60,6 +84,14 @@
   return json;
 }
 
+Json ParseForeignJson(std::string_view aText)
+{
+  if (NestsTooDeeply(aText)) {
+    return Json(Json::value_t::discarded);
+  }
+  return Json::parse(aText, nullptr, /*allow_exceptions=*/false);
+}
+
 JsonReader::JsonReader(const Json& aObject,
                        std::string aPath,
                        std::vector<std::string>& aErrors,
--- a/src/codec/JsonFields.h
+++ b/src/codec/JsonFields.h
@@ -21,6 +21,10 @@
 /// `InvalidNote` for a syntax error (with line and column), a duplicate key or too deep nesting.
 absl::StatusOr<Json> ParseJson(const std::string& aText, size_t aMaxBytes);
 
+/// Parses JSON that another program wrote. Returns a discarded value if the text is not JSON or
+/// nests too deeply.
+Json ParseForeignJson(std::string_view aText);
+
 /// How a reader treats keys that do not belong to a field.
 enum class UnknownKeys
 {
--- a/src/dandelion/OperatorClient.cpp
+++ b/src/dandelion/OperatorClient.cpp
@@ -47,7 +47,7 @@
   if (!answer.ok()) {
     return answer.status();
   }
-  Json json = Json::parse(answer->text, nullptr, /*allow_exceptions=*/false);
+  Json json = ParseForeignJson(answer->text);
   if (!json.is_object()) {
     return MakeError(ErrorKind::BrokenMessage, "the node's response is not a JSON object");
   }
--- a/src/dandelion/RequestTrace.cpp
+++ b/src/dandelion/RequestTrace.cpp
@@ -29,7 +29,7 @@
     unreadableCount_ += aLine.empty() ? 0 : 1;
     return;
   }
-  Json line = Json::parse(aLine.substr(begin), nullptr, /*allow_exceptions=*/false);
+  Json line = ParseForeignJson(aLine.substr(begin));
   if (!line.is_object()) {
     ++unreadableCount_;
     return;
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -155,7 +155,7 @@
     }
     Reply reply;
     reply.status = aResult.response.status;
-    reply.body = Json::parse(aResult.response.body, nullptr, /*allow_exceptions=*/false);
+    reply.body = ParseForeignJson(aResult.response.body);
     done(reply);
   };
   HttpSendOptions options;
--- a/src/wire/EtcdStore.cpp
+++ b/src/wire/EtcdStore.cpp
@@ -98,7 +98,7 @@
   std::vector<Json> lines;
   size_t end = 0;
   while ((end = aBuffer.find('\n')) != std::string::npos) {
-    lines.push_back(Json::parse(aBuffer.substr(0, end), nullptr, /*allow_exceptions=*/false));
+    lines.push_back(ParseForeignJson(aBuffer.substr(0, end)));
     aBuffer.erase(0, end + 1);
   }
   return lines;
@@ -264,8 +264,8 @@
       return;
     }
     const std::string& body = aResult.response.body;
-    Json answer = body.size() > kMaxAnswerBytes ? Json(Json::value_t::discarded)
-                                                : Json::parse(body, nullptr, false);
+    Json answer =
+      body.size() > kMaxAnswerBytes ? Json(Json::value_t::discarded) : ParseForeignJson(body);
     if (answer.is_discarded() || !answer.is_object()) {
       done(MakeError(ErrorKind::StoreUnavailable,
                      "the store's answer is too large or is not a JSON object"));
--- a/test/error/OddEntriesAreIgnored.cpp
+++ b/test/error/OddEntriesAreIgnored.cpp
@@ -118,6 +118,15 @@
   cr_assert_eq(store.requests, 2);
 }
 
+/// Guards against an answer of the store that overflows the stack of the node.
+Test(odd_entries, deeply_nested_answer_of_the_store_is_an_error)
+{
+  OddStore store([](const std::string&) -> std::string {
+    return fmt::format(R"({{"items":[{}],"at-rev":5}})", Nested(kDeepNesting));
+  });
+  cr_assert_not(store.ReadSeeds().ok());
+}
+
 Test(odd_entries, answer_of_the_store_with_a_number_too_large_is_an_error)
 {
   OddStore store(
