The next attempt of a refused call uses another connection to the upstream

Here a refusal of another call is recognized by its id and skipped (refusal_of_an_earlier_call_is_not_taken_for_the_next_one passes before and after). The next attempt of the same call has the same id, however, and could use the same connection, so that the repeated refusal was taken for its answer.

The node beside the upstream remembers the ids of the last 256 refused calls and sends their next attempts over a new connection. next_attempt_of_refused_call_uses_another_connection failed before.

--- a/src/wire/HttpUpstream.cpp
+++ b/src/wire/HttpUpstream.cpp
@@ -4,6 +4,8 @@
 
 #include "absl/strings/match.h"
 
+#include <algorithm>
+
 namespace dandelion {
 
 namespace {
@@ -18,6 +20,9 @@
 /// after the deadline, it is assumed lost and the request times out.
 constexpr Duration kCancelGrace = milliseconds(300);
 
+/// Number of refused calls that are remembered.
+constexpr size_t kMaxRefusedIds = 256;
+
 HttpRequest ToHttpRequest(const OpenCall& aCall, const CallHeaderNames& aHeaderNames)
 {
   HttpRequest request;
@@ -65,13 +70,35 @@
   HttpSendOptions options;
   options.timeout = milliseconds(aCall.deadlineMs) + kCancelGrace;
   options.maxIdleTime = aCall.isIdempotent ? kMaxIdleTime : kMaxIdleTimeNonIdempotent;
+  bool wasRefused =
+    std::find(refusedIds_.begin(), refusedIds_.end(), aCall.requestId) != refusedIds_.end();
+  if (wasRefused) {
+    // The upstream may write its earlier refusal once more on the connection that carried it. It
+    // has the same id as the answer to this attempt.
+    options.maxIdleTime = Duration::zero();
+  }
   options.isResponseToRequest = [this, call](int /* aStatus */, const HttpHeaders& aHeaders) {
     return IsAnswerTo(call, aHeaders, headerNames_);
   };
   auto onResult = [this, call, done = std::move(aOnResult)](const HttpResult& aResult) {
-    done(ClassifyAnswer(call, aResult, headerNames_));
+    UpstreamResult result = ClassifyAnswer(call, aResult, headerNames_);
+    if (aResult.outcome == HttpOutcome::Answered && result.outcome == CallOutcome::NotRun) {
+      RememberRefusal(call.requestId);
+    }
+    done(result);
   };
   return client_.Send(upstream_, ToHttpRequest(aCall, headerNames_), options, onResult);
 }
 
+void HttpUpstream::RememberRefusal(const std::string& aRequestId)
+{
+  if (aRequestId.empty()) {
+    return;
+  }
+  refusedIds_.push_back(aRequestId);
+  if (refusedIds_.size() > kMaxRefusedIds) {
+    refusedIds_.pop_front();
+  }
+}
+
 } // namespace dandelion
--- a/src/wire/HttpUpstream.h
+++ b/src/wire/HttpUpstream.h
@@ -6,6 +6,8 @@
 #include "wire/Http.h"
 #include "wire/Upstream.h"
 
+#include <deque>
+
 namespace dandelion {
 
 class HttpUpstream
@@ -19,9 +21,13 @@
   void Cancel(RequestId aId) override { client_.Cancel(aId); }
 
 private:
+  void RememberRefusal(const std::string& aRequestId);
+
   HttpClient client_;
   Endpoint upstream_;
   CallHeaderNames headerNames_;
+  /// Ids of the calls that the upstream has refused lately, the oldest first.
+  std::deque<std::string> refusedIds_;
 };
 
 } // namespace dandelion
--- /dev/null
+++ b/test/error/RepeatedRefusals.cpp
@@ -0,0 +1,139 @@
+/// Guards against "not run" for a call that an upstream runs, because an earlier refusal was
+/// written once more on a kept connection.
+#include "support/Check.h"
+#include "support/Loopback.h"
+
+#include "platform/Platform.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+using namespace dandelion;
+using namespace dandelion::testing;
+
+namespace {
+
+std::string Refusal(const std::string& aId)
+{
+  return "HTTP/1.1 503 Service Unavailable\r\nDandelionvale-Not-Executed: 1\r\n"
+         "Dandelionvale-Request-Id: " +
+         aId + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string Success(const std::string& aId)
+{
+  return "HTTP/1.1 200 OK\r\nDandelionvale-Server-Signature: x\r\nDandelionvale-Request-Id: " +
+         aId + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+/// An upstream that writes given bytes for each request, by connection and request on it.
+class ScriptedUpstream
+{
+public:
+  using Script = std::function<std::string(int aConnection, int aRequest)>;
+
+  ScriptedUpstream(Loop& aLoop, const Endpoint& aListen, Script aScript)
+    : loop_(aLoop)
+    , script_(std::move(aScript))
+  {
+    sockaddr_in address = ToSocketAddress(aListen);
+    auto onAccept = [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aContext) {
+      static_cast<ScriptedUpstream*>(aContext)->Accept(aSocket);
+    };
+    listener_ = evconnlistener_new_bind(aLoop.Base(),
+                                        onAccept,
+                                        this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        16,
+                                        reinterpret_cast<sockaddr*>(&address),
+                                        sizeof(address));
+  }
+  ~ScriptedUpstream()
+  {
+    evconnlistener_free(listener_);
+    for (const auto& connection : connections_) {
+      bufferevent_free(connection->socket);
+    }
+  }
+
+private:
+  struct Connection
+  {
+    ScriptedUpstream* upstream;
+    int index;
+    bufferevent* socket = nullptr;
+    int requests = 0;
+  };
+
+  void Accept(evutil_socket_t aSocket)
+  {
+    auto connection = std::make_unique<Connection>();
+    connection->upstream = this;
+    connection->index = static_cast<int>(connections_.size());
+    connection->socket = bufferevent_socket_new(loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+    auto onRead = [](bufferevent* aBufferevent, void* aContext) {
+      auto* self = static_cast<Connection*>(aContext);
+      evbuffer* input = bufferevent_get_input(aBufferevent);
+      evbuffer_drain(input, evbuffer_get_length(input));
+      std::string answer = self->upstream->script_(self->index, self->requests++);
+      bufferevent_write(aBufferevent, answer.data(), answer.size());
+    };
+    bufferevent_setcb(connection->socket, onRead, nullptr, nullptr, connection.get());
+    bufferevent_enable(connection->socket, EV_READ | EV_WRITE);
+    connections_.push_back(std::move(connection));
+  }
+
+  Loop& loop_;
+  Script script_;
+  evconnlistener* listener_ = nullptr;
+  std::vector<std::unique_ptr<Connection>> connections_;
+};
+
+struct Caller
+{
+  explicit Caller(ScriptedUpstream::Script aScript)
+    : server(loop, LoopbackOf(1), std::move(aScript))
+  {
+  }
+
+  CallOutcome Call(const std::string& aId)
+  {
+    OpenCall call;
+    call.method = "POST";
+    call.target = "/";
+    call.requestId = aId;
+    call.deadlineMs = 20000;
+    std::optional<UpstreamResult> result;
+    upstream.Send(call, [&](const UpstreamResult& aResult) { result = aResult; });
+    cr_assert(RunUntil(loop, [&] { return result.has_value(); }));
+    return result->outcome;
+  }
+
+  Loop loop;
+  ScriptedUpstream server;
+  HttpUpstream upstream{ loop, LoopbackOf(1), platform::MakeCallHeaderNames() };
+};
+
+} // namespace
+
+/// The next attempt of a refused call has the same id, so the repeated refusal looks like its
+/// answer.
+Test(repeated_refusals, next_attempt_of_refused_call_uses_another_connection)
+{
+  Caller caller([](int aConnection, int /* aRequest */) {
+    return aConnection == 0 ? Refusal("id-1") : Success("id-1");
+  });
+  cr_assert_eq(caller.Call("id-1"), CallOutcome::NotRun);
+  cr_assert_eq(caller.Call("id-1"), CallOutcome::Ran);
+}
+
+Test(repeated_refusals, refusal_of_an_earlier_call_is_not_taken_for_the_next_one)
+{
+  Caller caller([](int /* aConnection */, int aRequest) {
+    return aRequest == 0 ? Refusal("id-1") : Refusal("id-1") + Success("id-2");
+  });
+  cr_assert_eq(caller.Call("id-1"), CallOutcome::NotRun);
+  cr_assert_eq(caller.Call("id-2"), CallOutcome::Ran);
+}
