A refusal that names no call is no promise on a kept connection

Callers: "not run" for a call that runs, if an upstream writes an earlier refusal again and the refusal bears no request id. Cause: an answer without an id was taken for the answer of whatever call was waiting; successes were checked for the id, refusals were not. On a connection that has carried a request before, such a refusal now leaves the outcome unknown; on a new one it is the call's own, as no other answer can arrive there. The test failed before: not run instead of unknown.

--- a/src/wire/Http.h
+++ b/src/wire/Http.h
@@ -123,6 +123,8 @@
 {
   HttpOutcome outcome = HttpOutcome::Lost;
   HttpResponse response;
+  /// Whether the connection carried no other request before, so that no answer to one can arrive.
+  bool isFirstOnConnection = true;
 };
 
 /// Options of one request.
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -100,6 +100,7 @@
     request_ = aId;
     pending_ = &aPending;
     hasSent_ = false;
+    ++requests_;
     parser_.Reset(aPending.isHeadRequest);
     bufferevent_write(socket_, aBytes.data(), aBytes.size());
   }
@@ -161,6 +162,8 @@
   HttpMessageParser parser_;
   RequestId request_ = 0;
   Pending* pending_ = nullptr;
+  /// Requests begun on this connection.
+  int requests_ = 0;
   bool hasSent_ = false;
   bool hasFailed_ = false;
   TimePoint idleSince_;
@@ -225,7 +228,7 @@
 
 void HttpClient::Connection::Complete(bool aKeepsAlive)
 {
-  HttpResult result{ HttpOutcome::Answered, parser_.TakeResponse() };
+  HttpResult result{ HttpOutcome::Answered, parser_.TakeResponse(), requests_ == 1 };
   announcedIdleTime_ = ReadKeepAliveTimeout(result.response.headers);
   RequestId id = request_;
   bool isReusable = aKeepsAlive && !pending_->sawUnrelatedResponse;
--- a/src/wire/UpstreamAnswer.cpp
+++ b/src/wire/UpstreamAnswer.cpp
@@ -84,13 +84,16 @@
   const HttpResponse& response = aResult.response;
   result.status = response.status;
   result.isRetried = !FindHeader(response.headers, kRetriedHeader).empty();
+  bool identifiesCall = aHeaderNames.requestId.empty() || aCall.requestId.empty() ||
+                        !FindHeader(response.headers, aHeaderNames.requestId).empty();
   if (IsRefusal(response, aHeaderNames)) {
-    result.outcome = CallOutcome::NotRun;
+    // On a kept connection, a refusal without the call's id may be an earlier one written again.
+    bool isOfThisCall = identifiesCall || aResult.isFirstOnConnection;
+    result.outcome = isOfThisCall ? CallOutcome::NotRun : CallOutcome::Unknown;
+    result.rejectReason = isOfThisCall ? "" : "refusal without the request ID header";
     return result;
   }
   result.rejectReason = FindRejectReason(response, aHeaderNames);
-  bool identifiesCall = aHeaderNames.requestId.empty() || aCall.requestId.empty() ||
-                        !FindHeader(response.headers, aHeaderNames.requestId).empty();
   if (result.rejectReason.empty() && IsSuccess(response.status) && !identifiesCall) {
     result.rejectReason = "success without the request ID header";
   }
--- a/test/error/RepeatedRefusals.cpp
+++ b/test/error/RepeatedRefusals.cpp
@@ -22,6 +22,12 @@
          aId + "\r\nContent-Length: 0\r\n\r\n";
 }
 
+std::string RefusalWithoutId()
+{
+  return "HTTP/1.1 503 Service Unavailable\r\nDandelionvale-Not-Executed: 1\r\n"
+         "Content-Length: 0\r\n\r\n";
+}
+
 std::string Success(const std::string& aId)
 {
   return "HTTP/1.1 200 OK\r\nDandelionvale-Server-Signature: x\r\nDandelionvale-Request-Id: " +
@@ -137,3 +143,13 @@
   cr_assert_eq(caller.Call("id-1"), CallOutcome::NotRun);
   cr_assert_eq(caller.Call("id-2"), CallOutcome::Ran);
 }
+
+/// A refusal that names no call may be the repeated one of an earlier call.
+Test(repeated_refusals, refusal_without_an_id_promises_nothing_on_a_kept_connection)
+{
+  Caller caller([](int /* aConnection */, int aRequest) {
+    return aRequest == 0 ? RefusalWithoutId() : RefusalWithoutId() + Success("id-2");
+  });
+  cr_assert_eq(caller.Call("id-1"), CallOutcome::NotRun);
+  cr_assert_eq(caller.Call("id-2"), CallOutcome::Unknown);
+}
