Answers without end are given up by their amount, and together stay below 64 MB

Shown not to happen: one such head or body is given up at its limit (32 KB, 16 MB) on the code of before. Found: interim answers without end held the request until its deadline, and many bodies at a time were bounded by 16 MB each only, so that the slots of one upstream could hold more than the memory of a small node. Now at most 16 answers are skipped before the one that is awaited, and while all incomplete bodies hold over 64 MB, the largest is given up; its call is answered as unknown.

--- a/src/wire/Http.h
+++ b/src/wire/Http.h
@@ -171,6 +171,9 @@
   /// Cancels a request and closes its connection. Its callbacks are not called.
   void Cancel(RequestId aId);
 
+  /// Bytes of response bodies that have arrived and are not complete.
+  size_t BufferedBytes() const { return bufferedBytes_; }
+
   /// Number of connections opened since construction.
   uint64_t OpenedConnections() const { return openedConnections_; }
 
@@ -187,11 +190,15 @@
   void RemoveIdle(Connection* aConnection);
   void Finish(RequestId aId, HttpResult aResult);
   void FinishWithoutResponse(RequestId aId);
+  /// Fails the requests with the largest incomplete responses while all of them hold too much
+  /// memory.
+  void LimitBufferedBytes();
   void DeleteLater(std::unique_ptr<Connection> aConnection);
 
   Loop& loop_;
   RequestId nextId_ = 1;
   uint64_t openedConnections_ = 0;
+  size_t bufferedBytes_ = 0;
   std::map<RequestId, std::unique_ptr<Pending>> pending_;
   std::map<Endpoint, std::vector<std::unique_ptr<Connection>>> idle_;
   /// Closed connections, which are kept until libevent has returned from their callbacks.
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -17,6 +17,11 @@
 
 constexpr size_t kMaxIdleConnectionsPerServer = 64;
 constexpr size_t kMaxResponseBytes = 16 * 1024 * 1024;
+/// Maximum of all incomplete responses together, since servers may send bytes without end on many
+/// connections at a time.
+constexpr size_t kMaxBufferedBytes = 64 * 1024 * 1024;
+/// Maximum number of interim and unrelated responses before the response to a request.
+constexpr int kMaxSkippedResponses = 16;
 /// An idle connection is discarded this long before the idle timeout that its server announced.
 constexpr Duration kKeepAliveMargin = milliseconds(500);
 
@@ -91,7 +96,11 @@
     hasFailed_ = bufferevent_socket_connect(
                    socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0;
   }
-  ~Connection() { bufferevent_free(socket_); }
+  ~Connection()
+  {
+    client_.bufferedBytes_ -= bufferedBytes_;
+    bufferevent_free(socket_);
+  }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -101,6 +110,7 @@
     pending_ = &aPending;
     hasSent_ = false;
     ++requests_;
+    skippedResponses_ = 0;
     parser_.Reset(aPending.isHeadRequest);
     bufferevent_write(socket_, aBytes.data(), aBytes.size());
   }
@@ -127,6 +137,12 @@
   const Endpoint& Server() const { return server_; }
   bool HasFailed() const { return hasFailed_; }
   bool HasSent() const { return hasSent_; }
+  size_t BufferedBytes() const { return bufferedBytes_; }
+  void DropBufferedBytes()
+  {
+    parser_.Reset();
+    CountBufferedBytes();
+  }
 
 private:
   static void OnOutput(evbuffer* /* aBuffer */, const evbuffer_cb_info* aInfo, void* aContext)
@@ -152,6 +168,7 @@
   void Read();
   void OnDisconnected(bool aIsEof);
   bool SkipResponse();
+  void CountBufferedBytes();
   void DeliverBody();
   void Complete(bool aKeepsAlive);
   void Fail() { client_.Finish(request_, HttpResult{ HttpOutcome::Lost, {} }); }
@@ -164,6 +181,10 @@
   Pending* pending_ = nullptr;
   /// Requests begun on this connection.
   int requests_ = 0;
+  /// Responses skipped since the latest request.
+  int skippedResponses_ = 0;
+  /// The part of the client's buffered bytes that this connection holds.
+  size_t bufferedBytes_ = 0;
   bool hasSent_ = false;
   bool hasFailed_ = false;
   TimePoint idleSince_;
@@ -188,6 +209,16 @@
       return;
     }
     DeliverBody();
+    CountBufferedBytes();
+    client_.LimitBufferedBytes();
+    if (pending_ == nullptr) {
+      // This response was the largest.
+      return;
+    }
+    if (skippedResponses_ > kMaxSkippedResponses) {
+      Fail();
+      return;
+    }
     if (parser_.IsComplete() && !SkipResponse()) {
       bool isDrained = evbuffer_get_length(input) == 0 &&
                        evbuffer_get_length(bufferevent_get_output(socket_)) == 0;
@@ -208,6 +239,7 @@
   if (!isInterim && !isUnrelated) {
     return false;
   }
+  ++skippedResponses_;
   pending_->sawUnrelatedResponse = pending_->sawUnrelatedResponse || isUnrelated;
   parser_.Reset(pending_->isHeadRequest);
   return true;
@@ -226,9 +258,16 @@
   }
 }
 
+void HttpClient::Connection::CountBufferedBytes()
+{
+  client_.bufferedBytes_ += parser_.BufferedBytes() - bufferedBytes_;
+  bufferedBytes_ = parser_.BufferedBytes();
+}
+
 void HttpClient::Connection::Complete(bool aKeepsAlive)
 {
   HttpResult result{ HttpOutcome::Answered, parser_.TakeResponse(), requests_ == 1 };
+  CountBufferedBytes();
   announcedIdleTime_ = ReadKeepAliveTimeout(result.response.headers);
   RequestId id = request_;
   bool isReusable = aKeepsAlive && !pending_->sawUnrelatedResponse;
@@ -399,6 +438,21 @@
   }
 }
 
+void HttpClient::LimitBufferedBytes()
+{
+  while (bufferedBytes_ > kMaxBufferedBytes) {
+    auto isSmaller = [](const auto& aA, const auto& aB) {
+      return aA.second->connection->BufferedBytes() < aB.second->connection->BufferedBytes();
+    };
+    auto largest = std::max_element(pending_.begin(), pending_.end(), isSmaller);
+    if (largest == pending_.end() || largest->second->connection->BufferedBytes() == 0) {
+      return;
+    }
+    largest->second->connection->DropBufferedBytes();
+    Finish(largest->first, HttpResult{ HttpOutcome::Lost, {} });
+  }
+}
+
 void HttpClient::Finish(RequestId aId, HttpResult aResult)
 {
   auto found = pending_.find(aId);
--- a/src/wire/HttpMessageParser.h
+++ b/src/wire/HttpMessageParser.h
@@ -40,6 +40,8 @@
   void Reset(bool aIsResponseToHead = false);
 
   bool HasStarted() const { return hasStarted_; }
+  /// Bytes of the body that are held here.
+  size_t BufferedBytes() const { return body_.size(); }
   bool HasHeaders() const { return hasHeaders_; }
   bool IsComplete() const { return isComplete_; }
   HttpParseError ParseError() const { return parseError_; }
--- a/test/error/RepeatedRefusals.cpp
+++ b/test/error/RepeatedRefusals.cpp
@@ -2,14 +2,10 @@
 /// written once more on a kept connection.
 #include "support/Check.h"
 #include "support/Loopback.h"
+#include "support/ScriptedUpstream.h"
 
 #include "platform/Platform.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-#include <sys/socket.h>
-
 using namespace dandelion;
 using namespace dandelion::testing;
 
@@ -34,69 +30,6 @@
          aId + "\r\nContent-Length: 2\r\n\r\nok";
 }
 
-/// An upstream that writes given bytes for each request, by connection and request on it.
-class ScriptedUpstream
-{
-public:
-  using Script = std::function<std::string(int aConnection, int aRequest)>;
-
-  ScriptedUpstream(Loop& aLoop, const Endpoint& aListen, Script aScript)
-    : loop_(aLoop)
-    , script_(std::move(aScript))
-  {
-    sockaddr_in address = ToSocketAddress(aListen);
-    auto onAccept = [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aContext) {
-      static_cast<ScriptedUpstream*>(aContext)->Accept(aSocket);
-    };
-    listener_ = evconnlistener_new_bind(aLoop.Base(),
-                                        onAccept,
-                                        this,
-                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                        16,
-                                        reinterpret_cast<sockaddr*>(&address),
-                                        sizeof(address));
-  }
-  ~ScriptedUpstream()
-  {
-    evconnlistener_free(listener_);
-    for (const auto& connection : connections_) {
-      bufferevent_free(connection->socket);
-    }
-  }
-
-private:
-  struct Connection
-  {
-    ScriptedUpstream* upstream;
-    int index;
-    bufferevent* socket = nullptr;
-    int requests = 0;
-  };
-
-  void Accept(evutil_socket_t aSocket)
-  {
-    auto connection = std::make_unique<Connection>();
-    connection->upstream = this;
-    connection->index = static_cast<int>(connections_.size());
-    connection->socket = bufferevent_socket_new(loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
-    auto onRead = [](bufferevent* aBufferevent, void* aContext) {
-      auto* self = static_cast<Connection*>(aContext);
-      evbuffer* input = bufferevent_get_input(aBufferevent);
-      evbuffer_drain(input, evbuffer_get_length(input));
-      std::string answer = self->upstream->script_(self->index, self->requests++);
-      bufferevent_write(aBufferevent, answer.data(), answer.size());
-    };
-    bufferevent_setcb(connection->socket, onRead, nullptr, nullptr, connection.get());
-    bufferevent_enable(connection->socket, EV_READ | EV_WRITE);
-    connections_.push_back(std::move(connection));
-  }
-
-  Loop& loop_;
-  Script script_;
-  evconnlistener* listener_ = nullptr;
-  std::vector<std::unique_ptr<Connection>> connections_;
-};
-
 struct Caller
 {
   explicit Caller(ScriptedUpstream::Script aScript)
--- /dev/null
+++ b/test/support/ScriptedUpstream.h
@@ -0,0 +1,94 @@
+/// An upstream that writes bytes which need not be answers.
+#ifndef DANDELION_TEST_SUPPORT_SCRIPTED_UPSTREAM_H
+#define DANDELION_TEST_SUPPORT_SCRIPTED_UPSTREAM_H
+
+#include "wire/Wire.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dandelion::testing {
+
+/// An upstream that writes given bytes for each request, by connection and request on it. It
+/// repeats them without end if it is told to.
+class ScriptedUpstream
+{
+public:
+  using Script = std::function<std::string(int aConnection, int aRequest)>;
+
+  ScriptedUpstream(Loop& aLoop, const Endpoint& aListen, Script aScript, std::string aRepeated = "")
+    : loop_(aLoop)
+    , script_(std::move(aScript))
+    , repeated_(std::move(aRepeated))
+  {
+    sockaddr_in address = ToSocketAddress(aListen);
+    auto onAccept = [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aContext) {
+      static_cast<ScriptedUpstream*>(aContext)->Accept(aSocket);
+    };
+    listener_ = evconnlistener_new_bind(aLoop.Base(),
+                                        onAccept,
+                                        this,
+                                        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                        16,
+                                        reinterpret_cast<sockaddr*>(&address),
+                                        sizeof(address));
+  }
+  ~ScriptedUpstream()
+  {
+    evconnlistener_free(listener_);
+    for (const auto& connection : connections_) {
+      bufferevent_free(connection->socket);
+    }
+  }
+
+private:
+  struct Connection
+  {
+    ScriptedUpstream* upstream;
+    int index;
+    bufferevent* socket = nullptr;
+    int requests = 0;
+  };
+
+  void Accept(evutil_socket_t aSocket)
+  {
+    auto connection = std::make_unique<Connection>();
+    connection->upstream = this;
+    connection->index = static_cast<int>(connections_.size());
+    connection->socket = bufferevent_socket_new(loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE);
+    auto onRead = [](bufferevent* aBufferevent, void* aContext) {
+      auto* self = static_cast<Connection*>(aContext);
+      evbuffer* input = bufferevent_get_input(aBufferevent);
+      evbuffer_drain(input, evbuffer_get_length(input));
+      std::string answer = self->upstream->script_(self->index, self->requests++);
+      bufferevent_write(aBufferevent, answer.data(), answer.size());
+    };
+    auto onWritten = [](bufferevent* aBufferevent, void* aContext) {
+      auto* self = static_cast<Connection*>(aContext);
+      const std::string& repeated = self->upstream->repeated_;
+      if (self->requests > 0 && !repeated.empty()) {
+        bufferevent_write(aBufferevent, repeated.data(), repeated.size());
+      }
+    };
+    bufferevent_setcb(connection->socket, onRead, onWritten, nullptr, connection.get());
+    bufferevent_enable(connection->socket, EV_READ | EV_WRITE);
+    connections_.push_back(std::move(connection));
+  }
+
+  Loop& loop_;
+  Script script_;
+  std::string repeated_;
+  evconnlistener* listener_ = nullptr;
+  std::vector<std::unique_ptr<Connection>> connections_;
+};
+
+} // namespace dandelion::testing
+
+#endif
