--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -198,7 +198,7 @@
   const Member* sender = membership_->Table().Find(aConfirmation.sender);
   catchUp_.OnVersionSeen(sender == nullptr ? aFrom : EndpointOf(*sender), aConfirmation.version);
   AdvanceCatchUp();
-  if (membership_->IsReady() && aConfirmation.version == releases_->Current()->version) {
+  if (membership_->IsReady() && aConfirmation.version <= releases_->Current()->version) {
     SendConfirmation(asOf,
                      PushTargets(membership_->Table(), membership_->Self(), KnownStoreRegion()));
   }
--- a/src/spread/Freshness.cpp
+++ b/src/spread/Freshness.cpp
@@ -6,9 +6,9 @@
 
 void Freshness::OnConfirmed(Version aVersion, TimePoint aAsOf)
 {
-  if (aVersion == inForce_) {
+  if (aVersion <= inForce_) {
     confirmedAt_ = std::max(confirmedAt_, aAsOf);
-  } else if (aVersion > inForce_ && aVersion >= pendingVersion_) {
+  } else if (aVersion >= pendingVersion_) {
     pendingAt_ = aVersion > pendingVersion_ ? aAsOf : std::max(pendingAt_, aAsOf);
     pendingVersion_ = aVersion;
   }
@@ -17,7 +17,7 @@
 void Freshness::OnVersionInForce(Version aVersion)
 {
   inForce_ = std::max(inForce_, aVersion);
-  if (pendingVersion_ == inForce_) {
+  if (pendingVersion_ <= inForce_) {
     confirmedAt_ = std::max(confirmedAt_, pendingAt_);
   }
 }
--- a/src/spread/Freshness.h
+++ b/src/spread/Freshness.h
@@ -41,13 +41,13 @@
   {
   }
 
-  /// Records that `aVersion` was the newest version at `aAsOf`. A version that is not in force yet
-  /// counts from when it is.
+  /// Records that `aVersion` was the newest version at `aAsOf`. It also confirms a later version in
+  /// force. A version that is not in force yet counts from when it, or a later one, is.
   void OnConfirmed(Version aVersion, TimePoint aAsOf);
   void OnVersionInForce(Version aVersion);
-  /// Whether the version in force was the newest one within the last `kMaxUnconfirmedTime`.
+  /// Whether the node has in force all that was accepted until `kMaxUnconfirmedTime` ago.
   bool IsConfirmed(TimePoint aNow) const { return aNow - confirmedAt_ <= kMaxUnconfirmedTime; }
-  /// When the version in force was last known to be the newest.
+  /// The latest time until which all accepted versions are known to be in force.
   TimePoint ConfirmedAt() const { return confirmedAt_; }
   /// Returns whether a confirmation as of `aAsOf` should be sent to other members, and if so
   /// records that it was. Copies of one confirmation that arrive by several ways are sent once.
