A node that asks the store asks only for changes, and following is a service of its own

Cause, from the lines of all nodes: once the region without the store was unconfirmed, its 40 nodes read the whole configuration at the same moment (14 to 21 s, every 1.7 s; reads took 0.4 to 1.0 s, and some were given up after 1 s). The reads filled the way between the regions, on which the next confirmation, a datagram, was then lost, so that the region became unconfirmed again. Besides, a confirmation that arrived before its version was not passed on when the version came into force.

A confirmation now carries the revision of the store. A node that follows the store watches the changes after that revision and reads only if the store refuses that; a watch's first request is answered at once. A watch that has answered is begun again without a read. Confirmations are passed on when their version comes into force. The decision to follow moves from SpreadingService to FollowingService.

stored_configuration/is_not_read_by_a_node_that_knows_a_revision and unconfirmed/confirmation_is_passed_on_when_its_version_comes_into_force need the new interface.

--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "dandeliond/AdmissionService.h"
 #include "dandeliond/CallsService.h"
+#include "dandeliond/FollowingService.h"
 #include "dandeliond/FrontService.h"
 #include "dandeliond/MembershipService.h"
 #include "dandeliond/OperatorService.h"
@@ -153,6 +154,7 @@
   add(ServiceName::UpstreamState, MakeUpstreamState(context_));
   add(ServiceName::ReleaseLog, MakeReleaseLog(context_));
   add(ServiceName::Spreading, std::make_unique<SpreadingService>(context_, aSeed));
+  add(ServiceName::Following, std::make_unique<FollowingService>(context_));
   add(ServiceName::Membership,
       std::make_unique<MembershipService>(context_, aIncarnation, aSeed + 1));
   add(ServiceName::Seeds, std::make_unique<SeedsService>(context_, aSeed + 3));
--- a/src/dandeliond/ReleaseLogService.cpp
+++ b/src/dandeliond/ReleaseLogService.cpp
@@ -305,7 +305,7 @@
   store_->Create(request, onCreated);
 }
 
-void ReleaseLogService::Follow()
+void ReleaseLogService::Follow(int64_t /* aAfterRevision */)
 {
   if (isFollowing_) {
     return;
--- a/src/dandeliond/ReleaseLogService.h
+++ b/src/dandeliond/ReleaseLogService.h
@@ -23,9 +23,9 @@
   void ReadHead(std::function<void(const absl::StatusOr<Version>&)> aDone) override;
   void Append(const Entry& aEntry, std::function<void(AppendOutcome)> aDone) override;
   void Repair(OnDone aDone) override;
-  void Follow() override;
+  void Follow(int64_t aAfterRevision) override;
   void Unfollow() override;
-  void OnConfirmed(std::function<void(TimePoint)> /* aListener */) override {}
+  void OnConfirmed(OnConfirmation /* aListener */) override {}
   void Compact(OnDone aDone) override;
 
 private:
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -21,6 +21,10 @@
   Registry& registry;
   const NodeSettings& settings;
   CallHeaderNames headerNames = {};
+
+  /// Whether the nodes of this environment track where a version is in force. The platform shows
+  /// its operators no progress.
+  bool TracksProgress() const { return settings.environment == EnvironmentName::Standalone; }
 };
 
 /// `ServiceName::Metrics`: counters and histograms of the node.
@@ -69,6 +73,7 @@
 {
 public:
   using OnDone = std::function<void(const absl::Status&)>;
+  using OnConfirmation = std::function<void(TimePoint aAsOf, int64_t aRevision)>;
 
   virtual ~ReleaseLog() = default;
   /// Brings the replica to the head of the log by a read that begins after this call. Errors:
@@ -80,12 +85,13 @@
   virtual void Append(const Entry& aEntry, std::function<void(AppendOutcome)> aDone) = 0;
   /// Writes the entries that the store has lost to the log again, from this node's replica.
   virtual void Repair(OnDone aDone) = 0;
-  /// Watches the log until `Unfollow` and applies new entries to the replica.
-  virtual void Follow() = 0;
+  /// Watches the log until `Unfollow` and applies new entries to the replica. All that the store
+  /// held at `aAfterRevision` is in force already; 0 if no such revision is known.
+  virtual void Follow(int64_t aAfterRevision) = 0;
   virtual void Unfollow() = 0;
   /// Adds a listener that is called when the store has shown that this node's version was the
-  /// newest one at a time. Only logs of which progress is not tracked call it.
-  virtual void OnConfirmed(std::function<void(TimePoint aAsOf)> aListener) = 0;
+  /// newest one at a time and a revision. Only logs of which progress is not tracked call it.
+  virtual void OnConfirmed(OnConfirmation aListener) = 0;
   /// Writes a snapshot of the current configuration and deletes old notes that it covers.
   virtual void Compact(OnDone aDone) = 0;
 };
@@ -133,6 +139,8 @@
   virtual void RequireVersion(Version aVersion) = 0;
   /// Sends the relays an entry that this node has appended to the log.
   virtual void ForwardEntry(const Entry& aEntry) = 0;
+  /// Records that a member has reported `aVersion` as its own.
+  virtual void OnVersionSeen(const Endpoint& aPeer, Version aVersion) = 0;
   /// Whether this node knows of a version newer than its own.
   virtual bool IsBehind() const = 0;
 };
--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -1,14 +1,12 @@
 #include "dandeliond/SpreadingService.h"
 
-#include "absl/strings/str_join.h"
-
 #include <algorithm>
 
 namespace dandelion {
 
 namespace {
 
-constexpr Duration kTickPeriod = kFreshnessCheckPeriod;
+constexpr Duration kTickPeriod = milliseconds(50);
 constexpr Duration kReportRetryDelay = milliseconds(200);
 constexpr Duration kMaxReportRetryDelay = seconds(5);
 /// Time between two reports of a relay to the relays of all zones while its zone's counts change.
@@ -32,12 +30,6 @@
          aA.atNewest == aB.atNewest && aA.missing == aB.missing;
 }
 
-std::string IdsOf(const std::vector<const Member*>& aMembers)
-{
-  auto appendId = [](std::string* aText, const Member* aMember) { aText->append(aMember->id); };
-  return absl::StrJoin(aMembers, ", ", appendId);
-}
-
 } // namespace
 
 SpreadingService::SpreadingService(const NodeContext& aContext, uint64_t aSeed)
@@ -45,7 +37,6 @@
   , random_(aSeed)
   , catchUp_(aContext.settings.environment == EnvironmentName::Platform ? kPushWait
                                                                         : Duration::zero())
-  , freshness_(aContext.loop.Now())
 {
 }
 
@@ -66,18 +57,11 @@
     if (member != nullptr && member->region == KnownStoreRegion()) {
       lastStoreRegionContact_ = context_.loop.Now();
     }
-    catchUp_.OnVersionSeen(member == nullptr ? aPeer : EndpointOf(*member), aVersion);
-    AdvanceCatchUp();
+    OnVersionSeen(member == nullptr ? aPeer : EndpointOf(*member), aVersion);
   };
   links_->OnVersionSeen(onVersionSeen);
   membership_->OnVersionSeen(onVersionSeen);
-  membership_->AddListener([this] { OnMembersChanged(); });
   releases_->AddListener([this] { OnVersionInForce(); });
-  log_->OnConfirmed([this](TimePoint aAsOf) {
-    if (membership_->IsReady()) {
-      SendConfirmation(aAsOf, ConfirmationTargets());
-    }
-  });
   Tick();
   return absl::OkStatus();
 }
@@ -92,17 +76,12 @@
 {
   TimePoint now = context_.loop.Now();
   AdvanceCatchUp();
-  if (!membership_->IsReady()) {
-    // Joining includes asking the store or several members for their version.
-    freshness_.OnConfirmed(releases_->Current()->version, now);
-  } else {
-    UpdateFollowing(now);
-    if (TracksProgress()) {
-      ReportVersion(now);
-      ReportZone(now);
-      PollStore(now);
-      MaybeCompact();
-    }
+  // The platform's watches are renewed continuously, so the store need not be polled there.
+  if (membership_->IsReady() && context_.TracksProgress()) {
+    ReportVersion(now);
+    ReportZone(now);
+    PollStore(now);
+    MaybeCompact();
   }
   tickTimer_ = context_.loop.After(kTickPeriod, [this] { Tick(); });
 }
@@ -112,13 +91,12 @@
   Version version = releases_->Current()->version;
   links_->SetVersion(version);
   catchUp_.OnVersionInForce(version, context_.loop.Now());
-  freshness_.OnVersionInForce(version);
   PushVersion();
   for (auto& [relay, report] : reports_) {
     report.sends = 0;
     report.nextSend = context_.loop.Now();
   }
-  if (membership_->IsReady() && TracksProgress()) {
+  if (membership_->IsReady() && context_.TracksProgress()) {
     ReportVersion(context_.loop.Now());
   }
 }
@@ -128,96 +106,6 @@
   return StoreRegion(membership_->Table(), context_.settings.store.region);
 }
 
-bool SpreadingService::TracksProgress() const
-{
-  // The platform shows its operators no progress, and its watches are renewed continuously, so the
-  // store need not be polled.
-  return context_.settings.environment == EnvironmentName::Standalone;
-}
-
-void SpreadingService::OnMembersChanged()
-{
-  if (membership_->IsReady()) {
-    UpdateFollowing(context_.loop.Now());
-  }
-}
-
-void SpreadingService::UpdateFollowing(TimePoint aNow)
-{
-  const Member& self = membership_->Self();
-  FollowReason reason = FollowReason::None;
-  if (WatchesStore(membership_->Table(), self, KnownStoreRegion())) {
-    reason = FollowReason::Watcher;
-  } else if (!TracksProgress() && !freshness_.IsConfirmed(aNow)) {
-    reason = FollowReason::Unconfirmed;
-  }
-  if (reason == FollowReason::None) {
-    log_->Unfollow();
-  } else {
-    log_->Follow();
-  }
-  LogRole(reason);
-}
-
-std::vector<const Member*> SpreadingService::ConfirmationTargets() const
-{
-  const MemberTable& table = membership_->Table();
-  std::vector<const Member*> targets = PushTargets(table, membership_->Self(), KnownStoreRegion());
-  // A node that only asks the store for itself has nobody to push to; the relays pass it on.
-  for (const Member* relay : EntryForwardTargets(table, membership_->Self())) {
-    if (!ContainsMember(targets, relay->id)) {
-      targets.push_back(relay);
-    }
-  }
-  return targets;
-}
-
-void SpreadingService::SendConfirmation(TimePoint aAsOf, const std::vector<const Member*>& aTargets)
-{
-  if (!freshness_.ShouldSend(aAsOf)) {
-    return;
-  }
-  VersionConfirmation confirmation{ context_.settings.id,
-                                    releases_->Current()->version,
-                                    ToMilliseconds(context_.loop.Now() - aAsOf) };
-  for (const Member* target : aTargets) {
-    datagrams_->Send(EndpointOf(*target), confirmation);
-  }
-}
-
-void SpreadingService::OnConfirmation(const Endpoint& aFrom,
-                                      const VersionConfirmation& aConfirmation)
-{
-  bool isUsable =
-    aConfirmation.ageMs >= 0 && aConfirmation.ageMs <= ToMilliseconds(kMaxUnconfirmedTime);
-  if (!isUsable) {
-    return;
-  }
-  TimePoint asOf = context_.loop.Now() - milliseconds(aConfirmation.ageMs);
-  freshness_.OnConfirmed(aConfirmation.version, asOf);
-  const Member* sender = membership_->Table().Find(aConfirmation.sender);
-  catchUp_.OnVersionSeen(sender == nullptr ? aFrom : EndpointOf(*sender), aConfirmation.version);
-  AdvanceCatchUp();
-  if (membership_->IsReady() && aConfirmation.version <= releases_->Current()->version) {
-    SendConfirmation(asOf,
-                     PushTargets(membership_->Table(), membership_->Self(), KnownStoreRegion()));
-  }
-}
-
-void SpreadingService::LogRole(FollowReason aReason)
-{
-  const Member& self = membership_->Self();
-  std::string role =
-    fmt::format("Follows the store: {}. Relays of the zone: {}; of the region: {}.",
-                NameOf(aReason),
-                IdsOf(RelaysOfZone(membership_->Table(), self.zone)),
-                IdsOf(RelaysOfRegion(membership_->Table(), self.region)));
-  if (role != loggedRole_) {
-    loggedRole_ = role;
-    Log(LogPart::Spreading, LogLevel::Info, "{}", role);
-  }
-}
-
 void SpreadingService::PushVersion()
 {
   // A node that is still joining only catches up with versions that other nodes already hold.
@@ -227,7 +115,8 @@
   Version version = releases_->Current()->version;
   // Each release note raises the version by one. Configurations that operators keep in the store
   // may raise it by any amount.
-  Version before = TracksProgress() ? std::max(pushedVersion_, version - 1) : pushedVersion_;
+  Version before =
+    context_.TracksProgress() ? std::max(pushedVersion_, version - 1) : pushedVersion_;
   pushedVersion_ = version;
   LinkMessage update = MakeUpdateAfter(before);
   std::vector<const Member*> targets =
@@ -259,6 +148,12 @@
   }
 }
 
+void SpreadingService::OnVersionSeen(const Endpoint& aPeer, Version aVersion)
+{
+  catchUp_.OnVersionSeen(aPeer, aVersion);
+  AdvanceCatchUp();
+}
+
 void SpreadingService::RequireVersion(Version aVersion)
 {
   catchUp_.OnVersionRequired(aVersion);
@@ -411,23 +306,21 @@
 
 void SpreadingService::OnDatagram(const Endpoint& aFrom, const Datagram& aDatagram)
 {
-  std::visit(
-    Overloaded{
-      [&](const VersionReport& aReport) {
-        membership_->OnVersionReported(aReport.sender, aReport.version);
-        datagrams_->Send(aFrom, VersionReportAck{ context_.settings.id, aReport.version });
-        catchUp_.OnVersionSeen(aFrom, aReport.version);
-        AdvanceCatchUp();
-      },
-      [&](const VersionReportAck& aAck) {
-        ReportState& report = reports_[aAck.sender];
-        report.acknowledged = std::max(report.acknowledged, aAck.version);
-      },
-      [&](const ZoneReport& aReport) { rollout_.OnReport(aReport, context_.loop.Now()); },
-      [&](const VersionConfirmation& aConfirmation) { OnConfirmation(aFrom, aConfirmation); },
-      [](const auto&) {},
-    },
-    aDatagram);
+  std::visit(Overloaded{
+               [&](const VersionReport& aReport) {
+                 membership_->OnVersionReported(aReport.sender, aReport.version);
+                 datagrams_->Send(aFrom, VersionReportAck{ context_.settings.id, aReport.version });
+                 catchUp_.OnVersionSeen(aFrom, aReport.version);
+                 AdvanceCatchUp();
+               },
+               [&](const VersionReportAck& aAck) {
+                 ReportState& report = reports_[aAck.sender];
+                 report.acknowledged = std::max(report.acknowledged, aAck.version);
+               },
+               [&](const ZoneReport& aReport) { rollout_.OnReport(aReport, context_.loop.Now()); },
+               [](const auto&) {},
+             },
+             aDatagram);
 }
 
 void SpreadingService::ReportVersion(TimePoint aNow)
--- a/src/dandeliond/SpreadingService.h
+++ b/src/dandeliond/SpreadingService.h
@@ -9,24 +9,6 @@
 
 namespace dandelion {
 
-/// Why a node follows the store itself.
-enum class FollowReason
-{
-  None,
-  Watcher,
-  Unconfirmed,
-};
-
-template<>
-struct EnumNames<FollowReason>
-{
-  static constexpr EnumName<FollowReason> kTable[] = {
-    { FollowReason::None, "no" },
-    { FollowReason::Watcher, "watcher of its zone" },
-    { FollowReason::Unconfirmed, "its version was not confirmed" },
-  };
-};
-
 class SpreadingService
   : public Service
   , public Spreading
@@ -41,6 +23,7 @@
   void QueryProgress(Version aVersion, OnProgress aDone) override;
   void RequireVersion(Version aVersion) override;
   void ForwardEntry(const Entry& aEntry) override;
+  void OnVersionSeen(const Endpoint& aPeer, Version aVersion) override;
   bool IsBehind() const override { return catchUp_.IsBehind(); }
 
   void OnLinkMessage(LinkId aLink, const LinkMessage& aMessage) override;
@@ -62,17 +45,7 @@
 
   void Tick();
   void OnDatagram(const Endpoint& aFrom, const Datagram& aDatagram);
-  void OnConfirmation(const Endpoint& aFrom, const VersionConfirmation& aConfirmation);
-  void SendConfirmation(TimePoint aAsOf, const std::vector<const Member*>& aTargets);
-  /// The members to which this node passes on what the store has confirmed to it.
-  std::vector<const Member*> ConfirmationTargets() const;
   void OnVersionInForce();
-  void OnMembersChanged();
-  void UpdateFollowing(TimePoint aNow);
-  /// Logs whether the node follows the store and who its relays are, when this has changed.
-  void LogRole(FollowReason aReason);
-  /// Whether the nodes of this environment track where a version is in force.
-  bool TracksProgress() const;
   std::string KnownStoreRegion() const;
   void PushVersion();
   /// The message that brings a node from `aVersion` to the current version: entries if the replica
@@ -99,7 +72,6 @@
   const NodeContext& context_;
   std::mt19937_64 random_;
   CatchUp catchUp_;
-  Freshness freshness_;
   RolloutTracker rollout_;
   Datagrams* datagrams_ = nullptr;
   Links* links_ = nullptr;
@@ -113,7 +85,6 @@
   TimePoint nextZoneReport_;
   TimePoint nextStorePoll_;
   TimePoint lastStoreRegionContact_;
-  std::string loggedRole_;
   bool isReadingStore_ = false;
   bool isRepairing_ = false;
   bool isCompacting_ = false;
--- a/src/dandeliond/StoredConfigurationService.cpp
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Time from a failed read, or from the start of a watch, to the next read on each node that
-/// follows the store.
+/// Time from a failed read to the next one, and least time between the beginnings of two reads or
+/// of two watches, on each node that follows the store.
 constexpr Duration kWatchRetryDelay = milliseconds(500);
 /// The same after several failed reads, as all nodes may follow a store that is down.
 constexpr Duration kMaxWatchRetryDelay = seconds(1);
@@ -97,7 +97,7 @@
     return;
   }
   for (const auto& listener : confirmedListeners_) {
-    listener(aAsOf);
+    listener(aAsOf, revision_);
   }
 }
 
@@ -122,11 +122,19 @@
   aDone(AppendOutcome::Occupied);
 }
 
-void StoredConfigurationService::Follow()
+void StoredConfigurationService::Follow(int64_t aAfterRevision)
 {
-  if (!isFollowing_) {
-    isFollowing_ = true;
-    StartWatch();
+  if (isFollowing_) {
+    return;
+  }
+  isFollowing_ = true;
+  revision_ = std::max(revision_, aAfterRevision);
+  // Many nodes may begin to follow at once, so a node that knows a revision does not read the whole
+  // configuration.
+  if (revision_ > 0 && isReachable_) {
+    BeginWatch();
+  } else {
+    ReadAndWatch();
   }
 }
 
@@ -144,37 +152,39 @@
   }
 }
 
-void StoredConfigurationService::StartWatch()
+void StoredConfigurationService::ReadAndWatch()
 {
   if (isReading_) {
     return;
   }
   isReading_ = true;
-  startedAt_ = context_.loop.Now();
+  readBeganAt_ = context_.loop.Now();
   Synchronize([this](const absl::Status& aStatus) {
     isReading_ = false;
     if (!aStatus.ok() && KindOf(aStatus) == ErrorKind::StoreUnavailable) {
       ++failedReads_;
-      RetryWatch();
+      RetryRead();
       return;
     }
     failedReads_ = 0;
-    if (!isFollowing_ || watch_.has_value()) {
-      return;
-    }
-    auto onEvents = [this](const WatchEvents& aEvents) { OnWatchEvents(aEvents); };
-    auto onEnd = [this] {
-      watch_.reset();
-      // The store is read at once, unless watches end as soon as they begin.
-      Duration wait = startedAt_ + kWatchRetryDelay - context_.loop.Now();
-      retryTimer_ = context_.loop.After(std::max(wait, Duration::zero()), [this] { StartWatch(); });
-    };
-    watch_ = store_->Watch(key_, revision_, onEvents, onEnd);
+    BeginWatch();
   });
 }
 
+void StoredConfigurationService::BeginWatch()
+{
+  if (!isFollowing_ || watch_.has_value()) {
+    return;
+  }
+  watchBeganAt_ = context_.loop.Now();
+  hasWatchAnswered_ = false;
+  auto onEvents = [this](const WatchEvents& aEvents) { OnWatchEvents(aEvents); };
+  watch_ = store_->Watch(key_, revision_, onEvents, [this] { OnWatchEnd(); });
+}
+
 void StoredConfigurationService::OnWatchEvents(const WatchEvents& aEvents)
 {
+  hasWatchAnswered_ = true;
   // Only the newest configuration is applied; the others were never in force on this node. A watch
   // also reports keys that only begin like this one.
   auto isConfiguration = [this](const KeyValue& aItem) { return aItem.key == key_; };
@@ -182,18 +192,38 @@
   if (newest != aEvents.items.rend()) {
     holdsNewest_ = ApplyItem(*newest).ok();
   }
+  revision_ = std::max(revision_, aEvents.revision);
   if (aEvents.asOf.has_value()) {
     Confirm(*aEvents.asOf);
   }
 }
 
-void StoredConfigurationService::RetryWatch()
+void StoredConfigurationService::OnWatchEnd()
+{
+  watch_.reset();
+  // A watch that has answered is begun again over another connection. One that never did asked for
+  // history that the store has dropped, or the store does not answer at all; a read tells which.
+  std::optional<TimePoint> last = hasWatchAnswered_ ? watchBeganAt_ : readBeganAt_;
+  Duration wait = Duration::zero();
+  if (last.has_value()) {
+    wait = std::max(*last + kWatchRetryDelay - context_.loop.Now(), Duration::zero());
+  }
+  retryTimer_ = context_.loop.After(wait, [this] {
+    if (hasWatchAnswered_) {
+      BeginWatch();
+    } else {
+      ReadAndWatch();
+    }
+  });
+}
+
+void StoredConfigurationService::RetryRead()
 {
   Duration delay = failedReads_ > 1 ? kMaxWatchRetryDelay : kWatchRetryDelay;
   if (!isFollowing_) {
     delay = kUnwatchedRetryDelay;
   }
-  retryTimer_ = context_.loop.After(delay, [this] { StartWatch(); });
+  retryTimer_ = context_.loop.After(delay, [this] { ReadAndWatch(); });
 }
 
 } // namespace dandelion
--- a/src/dandeliond/StoredConfigurationService.h
+++ b/src/dandeliond/StoredConfigurationService.h
@@ -24,9 +24,9 @@
   void ReadHead(std::function<void(const absl::StatusOr<Version>&)> aDone) override;
   void Append(const Entry& aEntry, std::function<void(AppendOutcome)> aDone) override;
   void Repair(OnDone aDone) override { aDone(absl::OkStatus()); }
-  void Follow() override;
+  void Follow(int64_t aAfterRevision) override;
   void Unfollow() override;
-  void OnConfirmed(std::function<void(TimePoint)> aListener) override
+  void OnConfirmed(OnConfirmation aListener) override
   {
     confirmedListeners_.push_back(std::move(aListener));
   }
@@ -38,8 +38,12 @@
   /// Tells the listeners that this node held the newest version at `aAsOf`, unless it has rejected
   /// the one in the store.
   void Confirm(TimePoint aAsOf);
-  void StartWatch();
-  void RetryWatch();
+  /// Reads the configuration and then watches it.
+  void ReadAndWatch();
+  /// Watches the changes after the last known revision.
+  void BeginWatch();
+  void OnWatchEnd();
+  void RetryRead();
 
   const NodeContext& context_;
   std::string key_;
@@ -47,6 +51,7 @@
   Store* store_ = nullptr;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
+  /// All that the store held at this revision is in force here, or was rejected.
   int64_t revision_ = 0;
   bool isFollowing_ = false;
   bool isReading_ = false;
@@ -56,9 +61,11 @@
   bool holdsNewest_ = true;
   /// Reads in a row without an answer of the store.
   int failedReads_ = 0;
-  /// When the latest read before a watch began.
-  TimePoint startedAt_;
-  std::vector<std::function<void(TimePoint)>> confirmedListeners_;
+  /// When the latest read before a watch began, and the latest watch.
+  std::optional<TimePoint> readBeganAt_;
+  std::optional<TimePoint> watchBeganAt_;
+  bool hasWatchAnswered_ = false;
+  std::vector<OnConfirmation> confirmedListeners_;
   std::optional<Store::WatchId> watch_;
   Timer retryTimer_;
 };
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -344,24 +344,26 @@
 {
   WatchId id = nextWatch_++;
   watches_[id] =
-    WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0, {}, {} };
-  RenewWatch(id);
+    WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0, {}, {}, {} };
+  // The owner learns at once whether the store answers it, and whether there was a change.
+  RenewWatch(id, Duration::zero());
   return id;
 }
 
-void KeyValueStore::RenewWatch(WatchId aId)
+void KeyValueStore::RenewWatch(WatchId aId, Duration aWait)
 {
   WatchState& watch = watches_.at(aId);
   watch.sentAt = loop_.Now();
+  watch.wait = aWait;
   std::string target = fmt::format("/v1/kv-watch?path-prefix={}&after={}&wait-ms={}",
                                    PercentEncode(watch.prefix),
                                    watch.revision,
-                                   ToMilliseconds(timing_.renewalPeriod));
+                                   ToMilliseconds(aWait));
   watch.request =
     SendRequest("GET",
                 target,
                 "",
-                timing_.renewalPeriod + timing_.answerMargin,
+                aWait + timing_.answerMargin,
                 [this, aId](const absl::StatusOr<Reply>& aReply) { OnWatchReply(aId, aReply); });
 }
 
@@ -393,7 +395,8 @@
   // The store has answered at the latest at the end of its wait, even if this process was paused
   // and reads the answer only now.
   WatchEvents events{ ReadItems(aReply->body, "events"),
-                      std::min(loop_.Now(), found->second.sentAt + timing_.renewalPeriod) };
+                      std::min(loop_.Now(), found->second.sentAt + found->second.wait),
+                      found->second.revision };
   // The callback may cancel the watch.
   OnEvents onEvents = found->second.onEvents;
   onEvents(events);
@@ -402,10 +405,10 @@
     return;
   }
   if (events.items.empty()) {
-    RenewWatch(aId);
+    RenewWatch(aId, timing_.renewalPeriod);
   } else {
-    found->second.pauseTimer =
-      loop_.After(timing_.pauseAfterChange, [this, aId] { RenewWatch(aId); });
+    found->second.pauseTimer = loop_.After(timing_.pauseAfterChange,
+                                           [this, aId] { RenewWatch(aId, timing_.renewalPeriod); });
   }
 }
 
--- a/src/platform/KeyValueStore.h
+++ b/src/platform/KeyValueStore.h
@@ -57,8 +57,9 @@
     OnEvents onEvents;
     std::function<void()> onEnd;
     HttpClient::RequestId request = 0;
-    /// When the latest request of the watch was sent.
+    /// When the latest request of the watch was sent, and how long the store may hold it.
     TimePoint sentAt;
+    Duration wait = Duration::zero();
     Timer pauseTimer;
   };
 
@@ -77,7 +78,7 @@
                     const std::string& aValue,
                     int64_t aLease,
                     OnDone aDone);
-  void RenewWatch(WatchId aId);
+  void RenewWatch(WatchId aId, Duration aWait);
   void OnWatchReply(WatchId aId, const absl::StatusOr<Reply>& aReply);
 
   Loop& loop_;
--- a/src/spread/Freshness.h
+++ b/src/spread/Freshness.h
@@ -41,14 +41,18 @@
   {
   }
 
-  /// Records that `aVersion` was the newest version at `aAsOf`. It also confirms a later version in
-  /// force. A version that is not in force yet counts from when it, or a later one, is.
-  void OnConfirmed(Version aVersion, TimePoint aAsOf);
+  /// Records that `aVersion` was the newest version at `aAsOf`, when the store was at `aRevision`
+  /// (0 if that is not known). It also confirms a later version in force. A version that is not in
+  /// force yet counts from when it, or a later one, is.
+  void OnConfirmed(Version aVersion, TimePoint aAsOf, int64_t aRevision);
   void OnVersionInForce(Version aVersion);
   /// Whether the node has in force all that was accepted until `kMaxUnconfirmedTime` ago.
   bool IsConfirmed(TimePoint aNow) const { return aNow - confirmedAt_ <= kMaxUnconfirmedTime; }
   /// The latest time until which all accepted versions are known to be in force.
   TimePoint ConfirmedAt() const { return confirmedAt_; }
+  /// The highest revision of the store up to which all accepted versions are known to be in force;
+  /// 0 if none is known. A node needs to ask the store only for changes after it.
+  int64_t Revision() const { return revision_; }
   /// Returns whether a confirmation as of `aAsOf` should be sent to other members, and if so
   /// records that it was. Copies of one confirmation that arrive by several ways are sent once.
   bool ShouldSend(TimePoint aAsOf);
@@ -59,6 +63,8 @@
   /// The latest confirmation of the highest version that is not in force yet.
   Version pendingVersion_ = 0;
   TimePoint pendingAt_;
+  int64_t pendingRevision_ = 0;
+  int64_t revision_ = 0;
   std::optional<TimePoint> lastSentAsOf_;
 };
 
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -202,6 +202,8 @@
   std::string sender;
   Version version = 0;
   int64_t ageMs = 0;
+  /// A revision of the store of which the newest version was not later than `version`.
+  int64_t revision = 0;
 };
 
 using Datagram = std::
@@ -344,6 +346,7 @@
   aVisitor.Field("sender", aConfirmation.sender);
   aVisitor.Field("version", aConfirmation.version);
   aVisitor.Field("age_ms", aConfirmation.ageMs);
+  aVisitor.Field("revision", aConfirmation.revision);
 }
 
 } // namespace dandelion
--- a/src/wire/Store.h
+++ b/src/wire/Store.h
@@ -45,6 +45,8 @@
   std::vector<KeyValue> items;
   /// The store had no later changes at this time. Not set if the store does not tell.
   std::optional<TimePoint> asOf = {};
+  /// Revision of the store at that time. A watch may start after it.
+  int64_t revision = 0;
 };
 
 struct CreateRequest
--- a/test/correctness/StoredConfigurationIsFollowed.cpp
+++ b/test/correctness/StoredConfigurationIsFollowed.cpp
@@ -33,14 +33,14 @@
   return KeyValue{ platform::kConfigurationKey, fmt::format(kText, aVersion) };
 }
 
-/// A node that follows the store, which has answered its read with version 1.
+/// A node that follows the store, which answers reads with version 1.
 struct Follower
 {
-  Follower()
+  explicit Follower(int64_t aAfterRevision = 0)
   {
     releaseLog.Start().IgnoreError();
-    releaseLog.OnConfirmed([this](TimePoint) { ++confirmations; });
-    releaseLog.Follow();
+    releaseLog.OnConfirmed([this](TimePoint, int64_t) { ++confirmations; });
+    releaseLog.Follow(aAfterRevision);
   }
 
   Loop loop;
@@ -53,10 +53,16 @@
     AddService<FakeMembership>(registry, ServiceName::Membership, MakeMember("node-1", "s", 1));
   Store::OnEvents onEvents;
   int confirmations = 0;
+  int readCount = 0;
+  int64_t watchedAfter = 0;
   std::unique_ptr<trompeloeil::expectation> reads =
-    NAMED_ALLOW_CALL(store, Read(_, _)).SIDE_EFFECT(_2(ReadResult{ { ConfigurationItem(1) }, 1 }));
-  std::unique_ptr<trompeloeil::expectation> watches =
-    NAMED_ALLOW_CALL(store, Watch(_, _, _, _)).SIDE_EFFECT(onEvents = _3).RETURN(1);
+    NAMED_ALLOW_CALL(store, Read(_, _))
+      .SIDE_EFFECT(++readCount)
+      .SIDE_EFFECT(_2(ReadResult{ { ConfigurationItem(1) }, 1 }));
+  std::unique_ptr<trompeloeil::expectation> watches = NAMED_ALLOW_CALL(store, Watch(_, _, _, _))
+                                                        .SIDE_EFFECT(watchedAfter = _2)
+                                                        .SIDE_EFFECT(onEvents = _3)
+                                                        .RETURN(1);
   StoredConfigurationService releaseLog{ context,
                                          platform::kConfigurationKey,
                                          &platform::ReadConfiguration };
@@ -87,3 +93,13 @@
   follower.onEvents(WatchEvents{ {}, now });
   cr_assert_eq(follower.confirmations, 2);
 }
+
+/// Guards against a region whose nodes all read the whole configuration at once, which fills the
+/// way to the store so that its answers come too late.
+Test(stored_configuration, is_not_read_by_a_node_that_knows_a_revision)
+{
+  constexpr int64_t kRevision = 40;
+  Follower follower(kRevision);
+  cr_assert_eq(follower.readCount, 0);
+  cr_assert_eq(follower.watchedAfter, kRevision);
+}
--- a/test/correctness/UnconfirmedNodeAsksTheStore.cpp
+++ b/test/correctness/UnconfirmedNodeAsksTheStore.cpp
@@ -4,11 +4,10 @@
 #include "support/Loopback.h"
 #include "support/Mocks.h"
 
-#include "dandeliond/SpreadingService.h"
+#include "dandeliond/FollowingService.h"
 
 using namespace dandelion;
 using namespace dandelion::testing;
-using trompeloeil::_;
 
 namespace {
 
@@ -35,16 +34,18 @@
   void ReadHead(std::function<void(const absl::StatusOr<Version>&)>) override {}
   void Append(const Entry&, std::function<void(AppendOutcome)>) override {}
   void Repair(OnDone) override {}
-  void Follow() override { isFollowed = true; }
-  void Unfollow() override { isFollowed = false; }
-  void OnConfirmed(std::function<void(TimePoint)> aListener) override
+  void Follow(int64_t aAfterRevision) override
   {
-    confirm = std::move(aListener);
+    isFollowed = true;
+    followedAfter = aAfterRevision;
   }
+  void Unfollow() override { isFollowed = false; }
+  void OnConfirmed(OnConfirmation aListener) override { confirm = std::move(aListener); }
   void Compact(OnDone) override {}
 
   bool isFollowed = false;
-  std::function<void(TimePoint)> confirm;
+  int64_t followedAfter = 0;
+  OnConfirmation confirm;
 };
 
 Member MakeMemberOf(const std::string& aId, const std::string& aRegion, uint16_t aPort)
@@ -73,7 +74,7 @@
   {
     membership.table.Merge(MakeMemberOf("node-2", "west", 2));
     membership.table.Merge(MakeMemberOf("node-3", "east", 3));
-    spreading.Start().IgnoreError();
+    following.Start().IgnoreError();
   }
 
   Loop loop;
@@ -81,15 +82,13 @@
   NodeSettings settings = PlatformSettings();
   NodeContext context{ loop, registry, settings };
   FakeDatagrams& datagrams = AddService<FakeDatagrams>(registry, ServiceName::Datagrams);
-  MockLinks& links = AddService<MockLinks>(registry, ServiceName::Links);
+  FakeSpreading& spreading = AddService<FakeSpreading>(registry, ServiceName::Spreading);
   FakeMembership& membership = AddService<FakeMembership>(registry,
                                                           ServiceName::Membership,
                                                           MakeMemberOf("node-1", "west", 1));
   FakeReleases& releases = AddService<FakeReleases>(registry, ServiceName::Releases);
   FakeReleaseLog& log = AddService<FakeReleaseLog>(registry, ServiceName::ReleaseLog);
-  std::unique_ptr<trompeloeil::expectation> handlers = NAMED_ALLOW_CALL(links, AddHandler(_));
-  std::unique_ptr<trompeloeil::expectation> versions = NAMED_ALLOW_CALL(links, OnVersionSeen(_));
-  SpreadingService spreading{ context, 1 };
+  FollowingService following{ context };
 };
 
 } // namespace
@@ -99,14 +98,17 @@
   RemoteNode node;
   cr_assert(RunUntil(node.loop, [&] { return node.log.isFollowed; }));
   // A member that the store has answered confirms the version, so the node need not ask itself.
-  node.datagrams.deliver(Endpoint{ "10.0.0.1", 3 }, VersionConfirmation{ "node-3", 0, 0 });
+  node.datagrams.deliver(Endpoint{ "10.0.0.1", 3 }, VersionConfirmation{ "node-3", 0, 0, 7 });
   cr_assert(RunUntil(node.loop, [&] { return !node.log.isFollowed; }));
+  // Later it asks only for what has changed since.
+  cr_assert(RunUntil(node.loop, [&] { return node.log.isFollowed; }));
+  cr_assert_eq(node.log.followedAfter, 7);
 }
 
 Test(unconfirmed, node_that_the_store_has_answered_tells_its_relays)
 {
   RemoteNode node;
-  node.log.confirm(node.loop.Now());
+  node.log.confirm(node.loop.Now(), 7);
   cr_assert_eq(node.datagrams.sent.size(), 1);
   cr_assert(std::holds_alternative<VersionConfirmation>(node.datagrams.sent.front()));
 }
@@ -116,8 +118,21 @@
   RemoteNode node;
   cr_assert(RunUntil(node.loop, [&] { return node.log.isFollowed; }));
   for (int64_t age : { INT64_MIN, int64_t{ -1 }, INT64_MAX }) {
-    node.datagrams.deliver(Endpoint{ "10.0.0.1", 3 }, VersionConfirmation{ "node-3", 0, age });
+    node.datagrams.deliver(Endpoint{ "10.0.0.1", 3 }, VersionConfirmation{ "node-3", 0, age, 7 });
   }
   RunFor(node.loop, 2 * kFreshnessCheckPeriod);
   cr_assert(node.log.isFollowed);
 }
+
+/// Guards against members that hear nothing while versions follow each other faster than
+/// confirmations: each confirmation arrives before its version.
+Test(unconfirmed, confirmation_is_passed_on_when_its_version_comes_into_force)
+{
+  RemoteNode node;
+  node.datagrams.deliver(Endpoint{ "10.0.0.1", 3 }, VersionConfirmation{ "node-3", 5, 0, 7 });
+  cr_assert(node.datagrams.sent.empty());
+  Configuration configuration;
+  configuration.version = 5;
+  node.releases.Set(configuration);
+  cr_assert_not(node.datagrams.sent.empty());
+}
--- a/test/property/StalenessIsBounded.cpp
+++ b/test/property/StalenessIsBounded.cpp
@@ -28,7 +28,7 @@
       now += *rc::gen::inRange<int64_t>(0, 900);
       int64_t asOf = std::max<int64_t>(0, now - *rc::gen::inRange<int64_t>(0, 3000));
       Version version = *rc::gen::element<Version>(5, 6, 7);
-      freshness.OnConfirmed(version, At(asOf));
+      freshness.OnConfirmed(version, At(asOf), 0);
       newest = std::max(newest, asOf);
     }
     // A later version may be accepted right after the newest confirmation.
@@ -46,12 +46,14 @@
 {
   Freshness freshness{ At(0) };
   freshness.OnVersionInForce(7);
-  freshness.OnConfirmed(9, At(5000));
+  freshness.OnConfirmed(9, At(5000), 40);
   cr_assert_not(freshness.IsConfirmed(At(5000)));
   freshness.OnVersionInForce(8);
   cr_assert_not(freshness.IsConfirmed(At(5000)));
+  cr_assert_eq(freshness.Revision(), 0);
   freshness.OnVersionInForce(9);
   cr_assert(freshness.IsConfirmed(At(5000)));
+  cr_assert_eq(freshness.Revision(), 40);
 }
 
 /// Guards against nodes that all ask the store while versions follow each other faster than
@@ -59,10 +61,10 @@
 Test(freshness, confirmation_counts_for_later_versions_in_force)
 {
   Freshness freshness{ At(0) };
-  freshness.OnConfirmed(8, At(5000));
+  freshness.OnConfirmed(8, At(5000), 40);
   freshness.OnVersionInForce(9);
   cr_assert(freshness.IsConfirmed(At(5000)));
-  freshness.OnConfirmed(8, At(6000));
+  freshness.OnConfirmed(8, At(6000), 40);
   cr_assert_eq(freshness.ConfirmedAt(), At(6000));
 }
 
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -170,6 +170,7 @@
   void QueryProgress(Version /* aVersion */, OnProgress /* aDone */) override {}
   void RequireVersion(Version /* aVersion */) override {}
   void ForwardEntry(const Entry& /* aEntry */) override {}
+  void OnVersionSeen(const Endpoint& /* aPeer */, Version /* aVersion */) override {}
   bool IsBehind() const override { return false; }
 };
 
