Links between nodes continue over another connection when theirs falls silent

Cause: a link was its connection. It was found silent 0.5 s + 1 s after a call, and what was on its way then had an unknown outcome, although the peer could be reached by a new connection.

Both sides now count and acknowledge frames. The opener replaces a connection whose acknowledgement is overdue, or which has ended, and both sides send again what the other one has not received, once and in order. A restarted peer does not know the link, which is then closed as before.

--- a/src/wire/Fragments.h
+++ b/src/wire/Fragments.h
@@ -47,8 +47,27 @@
   uint64_t bytes = 0;
 };
 
+/// Sent to find out whether the peer still receives what is sent on the connection.
+struct LinkProbe
+{};
+
+/// Tells how many numbered frames were received on the link. Envelopes other than a hello,
+/// fragments, credits and probes are numbered.
+struct FrameAck
+{
+  uint64_t received = 0;
+};
+
+/// Answers the hello of an opener that continues a link over another connection.
+struct LinkResumed
+{
+  bool isKnown = false;
+  uint64_t received = 0;
+};
+
 /// Content of one websocket message.
-using LinkFrame = std::variant<LinkEnvelope, Fragment, FragmentCredit>;
+using LinkFrame =
+  std::variant<LinkEnvelope, Fragment, FragmentCredit, LinkProbe, FrameAck, LinkResumed>;
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, Fragment& aFragment)
@@ -64,6 +83,24 @@
   aVisitor.Field("bytes", aCredit.bytes);
 }
 
+template<class Visitor>
+void VisitFields(Visitor& /* aVisitor */, LinkProbe& /* aProbe */)
+{
+}
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, FrameAck& aAck)
+{
+  aVisitor.Field("received", aAck.received);
+}
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, LinkResumed& aResumed)
+{
+  aVisitor.Field("is_known", aResumed.isKnown);
+  aVisitor.Field("received", aResumed.received);
+}
+
 class FragmentSender
 {
 public:
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -32,13 +32,20 @@
   };
 };
 
-/// First message on a link, sent by the node that opened it.
+/// First message on a connection of a link, sent by the node that opened it.
 struct Hello
 {
   std::string sender;
   Endpoint endpoint;
-  /// The sender's signature over the link's challenge and the fields above, in hexadecimal digits.
+  /// The sender's signature over the connection's challenge and the other fields, in hexadecimal
+  /// digits.
   std::string proof = {};
+  /// A random number that identifies the link.
+  uint64_t token = 0;
+  /// Whether the link was open before over another connection.
+  bool resumes = false;
+  /// Numbered frames that the sender has received on the link.
+  uint64_t received = 0;
 };
 
 /// Requests all entries after a version.
@@ -215,6 +222,9 @@
   aVisitor.Field("sender", aHello.sender);
   aVisitor.Field("endpoint", aHello.endpoint);
   aVisitor.Field("proof", aHello.proof);
+  aVisitor.Field("token", aHello.token);
+  aVisitor.Field("resumes", aHello.resumes);
+  aVisitor.Field("received", aHello.received);
 }
 
 template<class Visitor>
--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -1,21 +1,18 @@
 #include "wire/WebsocketLink.h"
 
-#include "wire/SocketAddress.h"
-
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-
 namespace dandelion {
 
 namespace {
 
 constexpr Duration kConnectTimeout = seconds(2);
-/// A link with awaited answers is pinged if nothing was received for this time.
-constexpr Duration kPingAfterSilence = milliseconds(500);
-/// A link is closed if nothing is received within this time after a ping.
-constexpr Duration kPingTimeout = seconds(1);
-/// A link that was idle for longer is pinged before a message is sent on it.
+/// Longest time to continue a link over another connection, before its peer counts as unreachable.
+constexpr Duration kResumeTimeout = seconds(1);
+/// An accepted link without a connection is kept for this long: the opener's longest time to find
+/// the connection silent, to connect, and a margin for a busy machine.
+constexpr Duration kResumeWindow = kMaxAckTimeout + kResumeTimeout + milliseconds(500);
+/// A link with awaited answers is probed if nothing was received for this time.
+constexpr Duration kProbeAfterSilence = milliseconds(250);
+/// A link that was idle for longer is probed before a message is sent on it.
 constexpr Duration kStaleAfter = seconds(5);
 /// An outgoing link is closed if no message was sent on it for this time and no answer is awaited.
 constexpr Duration kIdleTimeout = seconds(60);
@@ -32,35 +29,23 @@
 {
 }
 
-WebsocketLinks::Link::~Link()
-{
-  session_.reset();
-  if (socket_ != nullptr) {
-    bufferevent_free(socket_);
-  }
-}
-
 void WebsocketLinks::Link::AcceptConnection(int aSocket)
 {
-  DisableNagle(aSocket);
-  MakeSocket(aSocket);
-  session_ = WebsocketSession::Accept(owner_.keys_, MakeCallbacks());
-  session_->StartHandshake();
+  connection_ = LinkConnection::Accept(owner_.loop_, aSocket, owner_.keys_, *this);
 }
 
 void WebsocketLinks::Link::SetOutgoing(const Endpoint& aPeer)
 {
   peer_ = aPeer;
   isOutgoing_ = true;
+  token_ = owner_.random_();
   // The listener is authenticated in the handshake, before the link is open.
   isAuthenticated_ = true;
 }
 
 void WebsocketLinks::Link::Connect()
 {
-  MakeSocket(-1);
-  sockaddr_in address = ToSocketAddress(*peer_);
-  bufferevent_socket_connect(socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  connection_ = LinkConnection::Connect(owner_.loop_, *peer_, owner_.keys_, *this);
 }
 
 void WebsocketLinks::Link::Send(const LinkMessage& aMessage)
@@ -74,7 +59,7 @@
     // until the peer answers, so that a dead link returns them as unsent. If they were sent, it
     // would be unknown whether their calls were executed.
     isVerifying_ = true;
-    Ping(now);
+    SendNumbered(LinkProbe{});
   }
   if (!isOpen_ || isVerifying_) {
     queued_.push_back(aMessage);
@@ -83,23 +68,39 @@
   SendNow(aMessage);
 }
 
+bool WebsocketLinks::Link::HasWork() const
+{
+  return awaitedAnswers_ > 0 || !queued_.empty() || !delivery_.Unacknowledged().empty() ||
+         fragmentSender_.QueuedBytes() > 0;
+}
+
 bool WebsocketLinks::Link::CheckTimeouts(TimePoint aNow)
 {
+  if (interruptedAt_.has_value()) {
+    return aNow - *interruptedAt_ > (isOutgoing_ ? kResumeTimeout : kResumeWindow);
+  }
   if (!isOpen_) {
     return aNow - createdAt_ > kConnectTimeout;
   }
-  if (pingedAt_.has_value() && aNow - *pingedAt_ > kPingTimeout) {
-    return true;
+  if (!isOutgoing_) {
+    // The opener replaces a silent connection long before this.
+    std::optional<TimePoint> waitingSince = delivery_.WaitingSince();
+    return waitingSince.has_value() && aNow - *waitingSince > kResumeWindow;
+  }
+  if (delivery_.IsOverdue(aNow)) {
+    Reconnect(aNow);
+    return false;
   }
-  if (awaitedAnswers_ > 0 && !pingedAt_.has_value() && aNow - lastReceived_ > kPingAfterSilence) {
-    Ping(aNow);
+  bool isAwaiting = awaitedAnswers_ > 0 && delivery_.Unacknowledged().empty();
+  if (isAwaiting && aNow - lastReceived_ > kProbeAfterSilence) {
+    SendNumbered(LinkProbe{});
   }
-  return isOutgoing_ && awaitedAnswers_ == 0 && aNow - lastUsed_ > kIdleTimeout;
+  return !HasWork() && aNow - lastUsed_ > kIdleTimeout;
 }
 
 size_t WebsocketLinks::Link::QueuedBytes() const
 {
-  size_t output = socket_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(socket_));
+  size_t output = connection_ == nullptr ? 0 : connection_->QueuedBytes();
   return output + fragmentSender_.QueuedBytes() + fragmentSender_.BytesInFlight();
 }
 
@@ -113,46 +114,122 @@
 
 void WebsocketLinks::Link::Detach()
 {
-  if (socket_ != nullptr) {
-    bufferevent_disable(socket_, EV_READ | EV_WRITE);
-    bufferevent_setcb(socket_, nullptr, nullptr, nullptr, nullptr);
+  if (connection_ != nullptr) {
+    connection_->Detach();
   }
 }
 
-void WebsocketLinks::Link::MakeSocket(int aSocket)
+void WebsocketLinks::Link::DropConnection()
 {
-  socket_ = bufferevent_socket_new(
-    owner_.loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-  bufferevent_setcb(socket_, &Link::OnReadable, nullptr, &Link::OnSocketEvent, this);
-  bufferevent_enable(socket_, EV_READ | EV_WRITE);
+  if (connection_ != nullptr) {
+    connection_->Detach();
+    owner_.retiredConnections_.push_back(std::move(connection_));
+  }
+  isOpen_ = false;
 }
 
-WebsocketSession::Callbacks WebsocketLinks::Link::MakeCallbacks()
+void WebsocketLinks::Link::Reconnect(TimePoint aNow)
 {
-  WebsocketSession::Callbacks callbacks;
-  callbacks.onWrite = [this](std::string_view aBytes) {
-    owner_.bytesSent_[static_cast<size_t>(lane_)] += aBytes.size();
-    bufferevent_write(socket_, aBytes.data(), aBytes.size());
-  };
-  callbacks.onOpen = [this] { OnOpen(); };
-  callbacks.onMessage = [this](const std::string& aBytes) { OnFrame(aBytes); };
-  callbacks.onClosed = [this] { owner_.Close(id_); };
-  return callbacks;
+  Log(LogPart::Links,
+      LogLevel::Info,
+      "The connection to {} is replaced: {} frames are not acknowledged, the first since {} ms; "
+      "nothing was received for {} ms.",
+      ToText(*peer_),
+      delivery_.Unacknowledged().size(),
+      ToMilliseconds(aNow - delivery_.WaitingSince().value_or(aNow)),
+      ToMilliseconds(aNow - lastReceived_));
+  DropConnection();
+  interruptedAt_ = aNow;
+  Connect();
 }
 
-void WebsocketLinks::Link::OnOpen()
+void WebsocketLinks::Link::OnConnected()
 {
-  isOpen_ = true;
+  if (!isOutgoing_) {
+    isOpen_ = true;
+    owner_.OnOpened(*this);
+    return;
+  }
   owner_.OnOpened(*this);
-  if (isOutgoing_) {
-    SendNow(SignedHello());
+  connection_->Send(Encode(LinkFrame(LinkEnvelope{ owner_.version_, SignedHello() })));
+  if (interruptedAt_.has_value()) {
+    // The peer tells first what it has received.
+    return;
   }
+  isOpen_ = true;
+  wasOpen_ = true;
   SendQueued();
 }
 
+void WebsocketLinks::Link::OnDisconnected()
+{
+  bool isInterrupted = interruptedAt_.has_value();
+  if (isOutgoing_ && wasOpen_ && !isInterrupted && HasWork()) {
+    Reconnect(owner_.loop_.Now());
+    return;
+  }
+  if (!isOutgoing_ && wasOpen_) {
+    DropConnection();
+    interruptedAt_ = owner_.loop_.Now();
+    return;
+  }
+  owner_.Close(id_);
+}
+
+void WebsocketLinks::Link::ContinueOver(Link& aReplacement, const Hello& aHello)
+{
+  DropConnection();
+  connection_ = std::move(aReplacement.connection_);
+  connection_->SetUser(*this);
+  connection_->Send(Encode(LinkFrame(LinkResumed{ true, delivery_.Received() })));
+  Continue(aHello.received);
+}
+
+void WebsocketLinks::Link::OnResumed(const LinkResumed& aResumed)
+{
+  if (!isOutgoing_ || !interruptedAt_.has_value()) {
+    owner_.CloseWithError(id_, MakeError(ErrorKind::BrokenMessage, "the link is not interrupted"));
+    return;
+  }
+  if (!aResumed.isKnown) {
+    owner_.CloseWithError(id_,
+                          MakeError(ErrorKind::Unreachable, "the peer does not know the link"));
+    return;
+  }
+  Continue(aResumed.received);
+}
+
+void WebsocketLinks::Link::Continue(uint64_t aReceivedByPeer)
+{
+  TimePoint now = owner_.loop_.Now();
+  interruptedAt_.reset();
+  isOpen_ = true;
+  isVerifying_ = false;
+  lastReceived_ = now;
+  if (!delivery_.OnAcknowledged(aReceivedByPeer, now)) {
+    owner_.CloseWithError(
+      id_, MakeError(ErrorKind::BrokenMessage, "the peer acknowledges frames that were not sent"));
+    return;
+  }
+  delivery_.OnResent(now);
+  Log(LogPart::Links,
+      LogLevel::Info,
+      "The link to {} continues over another connection; {} frames are sent again.",
+      peer_.has_value() ? ToText(*peer_) : "a peer",
+      delivery_.Unacknowledged().size());
+  for (const LinkDelivery::SentFrame& frame : delivery_.Unacknowledged()) {
+    connection_->Send(frame.bytes);
+  }
+  SendQueued();
+  owner_.SendFragments();
+}
+
 LinkMessage WebsocketLinks::Link::SignedHello() const
 {
   Hello hello = owner_.self_;
+  hello.token = token_;
+  hello.resumes = interruptedAt_.has_value();
+  hello.received = delivery_.Received();
   hello.proof =
     ToHex(owner_.keys_.Sign(SignaturePurpose::LinkFromOpener, HelloSignatureInput(hello)));
   return hello;
@@ -160,7 +237,13 @@
 
 std::string WebsocketLinks::Link::HelloSignatureInput(const Hello& aHello) const
 {
-  return fmt::format("{}\n{}\n{}", session_->Challenge(), aHello.sender, ToText(aHello.endpoint));
+  return fmt::format("{}\n{}\n{}\n{}\n{}\n{}",
+                     connection_->Challenge(),
+                     aHello.sender,
+                     ToText(aHello.endpoint),
+                     aHello.token,
+                     aHello.resumes,
+                     aHello.received);
 }
 
 bool WebsocketLinks::Link::Authenticate(const LinkEnvelope& aEnvelope)
@@ -175,11 +258,22 @@
 
 void WebsocketLinks::Link::Receive(const LinkEnvelope& aEnvelope)
 {
-  if (Authenticate(aEnvelope)) {
-    owner_.Receive(id_, aEnvelope);
-  } else {
+  if (!Authenticate(aEnvelope)) {
     owner_.CloseWithError(id_, absl::PermissionDeniedError("the opener does not have our key"));
+    return;
   }
+  const auto* hello = std::get_if<Hello>(&aEnvelope.message);
+  if (hello == nullptr) {
+    CountReceived();
+  } else if (hello->resumes) {
+    owner_.Resume(*this, *hello);
+    return;
+  } else {
+    token_ = hello->token;
+    wasOpen_ = true;
+    owner_.Register(token_, id_);
+  }
+  owner_.Receive(id_, aEnvelope);
 }
 
 void WebsocketLinks::Link::SendQueued()
@@ -196,25 +290,50 @@
   LinkEnvelope envelope{ owner_.version_, aMessage };
   std::string bytes = Encode(LinkFrame(envelope));
   if (bytes.size() <= kFragmentBytes || !owner_.fragmentsLargeMessages_) {
-    session_->Send(bytes);
+    SendAck();
+    connection_->Send(bytes);
+    delivery_.OnSent(std::move(bytes), owner_.loop_.Now());
     return;
   }
   fragmentSender_.Add(aMessage, Encode(envelope));
   owner_.SendFragments();
 }
 
+void WebsocketLinks::Link::SendNumbered(const LinkFrame& aFrame)
+{
+  std::string bytes = Encode(aFrame);
+  connection_->Send(bytes);
+  delivery_.OnSent(std::move(bytes), owner_.loop_.Now());
+}
+
+void WebsocketLinks::Link::SendAck()
+{
+  if (isOpen_ && delivery_.OwesAck()) {
+    connection_->Send(Encode(LinkFrame(FrameAck{ delivery_.TakeAck() })));
+  }
+}
+
 bool WebsocketLinks::Link::SendOneFragment()
 {
+  if (!isOpen_) {
+    return false;
+  }
   size_t before = fragmentSender_.BytesInFlight();
   auto next = fragmentSender_.NextFragment(owner_.loop_.Now());
   owner_.CountInFlight(before, fragmentSender_.BytesInFlight());
   if (!next.has_value()) {
     return false;
   }
-  session_->Send(Encode(LinkFrame(*std::move(next))));
+  SendNumbered(*std::move(next));
   return true;
 }
 
+void WebsocketLinks::Link::CountReceived()
+{
+  delivery_.OnReceived();
+  owner_.ScheduleAck(id_);
+}
+
 void WebsocketLinks::Link::OnFrame(const std::string& aBytes)
 {
   auto frame = Decode<LinkFrame>(aBytes);
@@ -222,27 +341,43 @@
     owner_.CloseWithError(id_, frame.status());
     return;
   }
-  std::visit(Overloaded{
-               [&](const LinkEnvelope& aEnvelope) { Receive(aEnvelope); },
-               [&](const Fragment& aFragment) { OnFragment(aFragment); },
-               [&](const FragmentCredit& aCredit) {
-                 size_t before = fragmentSender_.BytesInFlight();
-                 fragmentSender_.OnCredit(aCredit.bytes, owner_.loop_.Now());
-                 owner_.CountInFlight(before, fragmentSender_.BytesInFlight());
-                 owner_.SendFragments();
-               },
-             },
-             *frame);
+  bool isEnvelope = std::holds_alternative<LinkEnvelope>(*frame);
+  if (!isAuthenticated_ && !isEnvelope) {
+    owner_.CloseWithError(
+      id_, absl::PermissionDeniedError("the opener sent another frame before its hello message"));
+    return;
+  }
+  std::visit(
+    Overloaded{
+      [&](const LinkEnvelope& aEnvelope) { Receive(aEnvelope); },
+      [&](const Fragment& aFragment) { OnFragment(aFragment); },
+      [&](const FragmentCredit& aCredit) { OnCredit(aCredit); },
+      [&](const LinkProbe&) { CountReceived(); },
+      [&](const FrameAck& aAck) {
+        if (!delivery_.OnAcknowledged(aAck.received, owner_.loop_.Now())) {
+          owner_.CloseWithError(
+            id_,
+            MakeError(ErrorKind::BrokenMessage, "the peer acknowledges frames that were not sent"));
+        }
+      },
+      [&](const LinkResumed& aResumed) { OnResumed(aResumed); },
+    },
+    *frame);
+}
+
+void WebsocketLinks::Link::OnCredit(const FragmentCredit& aCredit)
+{
+  CountReceived();
+  size_t before = fragmentSender_.BytesInFlight();
+  fragmentSender_.OnCredit(aCredit.bytes, owner_.loop_.Now());
+  owner_.CountInFlight(before, fragmentSender_.BytesInFlight());
+  owner_.SendFragments();
 }
 
 void WebsocketLinks::Link::OnFragment(const Fragment& aFragment)
 {
-  if (!isAuthenticated_) {
-    owner_.CloseWithError(
-      id_, absl::PermissionDeniedError("the opener sent a fragment before its hello message"));
-    return;
-  }
-  session_->Send(Encode(LinkFrame(FragmentCredit{ aFragment.bytes.data.size() })));
+  CountReceived();
+  SendNumbered(FragmentCredit{ aFragment.bytes.data.size() });
   auto messageBytes = fragmentReceiver_.AddFragment(aFragment);
   if (!messageBytes.ok()) {
     owner_.CloseWithError(id_, messageBytes.status());
@@ -256,41 +391,16 @@
     owner_.CloseWithError(id_, envelope.status());
     return;
   }
-  Receive(*envelope);
-}
-
-void WebsocketLinks::Link::Ping(TimePoint aNow)
-{
-  pingedAt_ = aNow;
-  session_->Ping();
-}
-
-void WebsocketLinks::Link::OnReadable(bufferevent* aSocket, void* aContext)
-{
-  auto* link = static_cast<Link*>(aContext);
-  evbuffer* input = bufferevent_get_input(aSocket);
-  std::string bytes(evbuffer_get_length(input), '\0');
-  evbuffer_remove(input, bytes.data(), bytes.size());
-  link->lastReceived_ = link->owner_.loop_.Now();
-  link->pingedAt_.reset();
-  link->session_->Feed(bytes.data(), bytes.size());
-  if (link->isVerifying_) {
-    link->isVerifying_ = false;
-    link->SendQueued();
-  }
+  owner_.Receive(id_, *envelope);
 }
 
-void WebsocketLinks::Link::OnSocketEvent(bufferevent* aSocket, short aEvents, void* aContext)
+void WebsocketLinks::Link::OnBytesReceived()
 {
-  auto* link = static_cast<Link*>(aContext);
-  if ((aEvents & BEV_EVENT_CONNECTED) != 0) {
-    DisableNagle(bufferevent_getfd(aSocket));
-    link->session_ =
-      WebsocketSession::Connect(ToText(*link->peer_), link->owner_.keys_, link->MakeCallbacks());
-    link->session_->StartHandshake();
-    return;
+  lastReceived_ = owner_.loop_.Now();
+  if (isVerifying_) {
+    isVerifying_ = false;
+    SendQueued();
   }
-  link->owner_.Close(link->id_);
 }
 
 } // namespace dandelion
--- a/src/wire/WebsocketLink.h
+++ b/src/wire/WebsocketLink.h
@@ -1,30 +1,34 @@
-/// One websocket link: its connection, and the messages queued until the connection is verified.
+/// One websocket link between two nodes. It outlives its connection: the opener replaces a
+/// connection that is lost or silent, and both sides continue where they were.
 #ifndef DANDELION_WIRE_WEBSOCKET_LINK_H
 #define DANDELION_WIRE_WEBSOCKET_LINK_H
 
 #include "wire/Fragments.h"
+#include "wire/LinkConnection.h"
+#include "wire/LinkDelivery.h"
 #include "wire/WebsocketLinks.h"
-#include "wire/WebsocketSession.h"
-
-struct bufferevent;
 
 namespace dandelion {
 
-class WebsocketLinks::Link
+class WebsocketLinks::Link : public LinkConnection::User
 {
 public:
   Link(WebsocketLinks& aOwner, LinkId aId, Lane aLane);
-  ~Link();
   /// Uses a connection that a peer has opened.
   void AcceptConnection(int aSocket);
   /// Marks the link as one that this node opens. `Connect` starts the connection.
   void SetOutgoing(const Endpoint& aPeer);
   void Connect();
+  /// Continues this accepted link over the connection of `aReplacement`, whose hello names it.
+  void ContinueOver(Link& aReplacement, const Hello& aHello);
   /// Sends a message, or queues it until the link is open and verified.
   void Send(const LinkMessage& aMessage);
 
-  /// Sends a ping where one is due. Returns whether the link must be closed now.
+  /// Sends a probe or replaces the connection where that is due. Returns whether the link must be
+  /// closed now.
   bool CheckTimeouts(TimePoint aNow);
+  /// Acknowledges the frames received so far, if there are any unacknowledged ones.
+  void SendAck();
   void AdjustAwaitedAnswers(int aChange)
   {
     awaitedAnswers_ = std::max(0, awaitedAnswers_ + aChange);
@@ -40,20 +44,43 @@
   const std::optional<Endpoint>& Peer() const { return peer_; }
   Lane LaneOf() const { return lane_; }
   bool IsOpen() const { return isOpen_; }
+  bool WasOpen() const { return wasOpen_; }
   /// Whether a connection was started.
-  bool IsConnecting() const { return socket_ != nullptr; }
+  bool IsConnecting() const { return connection_ != nullptr; }
   bool IsOutgoing() const { return isOutgoing_; }
-  /// Stops all socket callbacks. The link must not be deleted while a callback is running.
+  LinkId Id() const { return id_; }
+  /// Tells the opener of this connection that the link that it wants to continue is not known.
+  void RefuseResume() { connection_->Send(Encode(LinkFrame(LinkResumed{}))); }
+  /// Identifies an accepted link towards its opener; 0 before its hello.
+  uint64_t Token() const { return token_; }
+  /// Stops all callbacks. The link must not be deleted while a callback is running.
   void Detach();
 
+  void OnConnected() override;
+  void OnBytesReceived() override;
+  void OnFrame(const std::string& aBytes) override;
+  void OnDisconnected() override;
+  void OnBytesSent(size_t aCount) override
+  {
+    owner_.bytesSent_[static_cast<size_t>(lane_)] += aCount;
+  }
+
 private:
-  void MakeSocket(int aSocket);
-  WebsocketSession::Callbacks MakeCallbacks();
-  void OnOpen();
   LinkMessage SignedHello() const;
 
-  /// The text that the opener of a link signs: the link's challenge, and its name and endpoint.
+  /// The text that the opener of a link signs: the connection's challenge, and the fields of its
+  /// hello.
   std::string HelloSignatureInput(const Hello& aHello) const;
+  /// Gives up the connection and opens another one to continue on.
+  void Reconnect(TimePoint aNow);
+  void DropConnection();
+  /// Sends the frames again that the peer has not received, and what was queued meanwhile.
+  void Continue(uint64_t aReceivedByPeer);
+  void OnResumed(const LinkResumed& aResumed);
+  /// Whether anything would be lost if the link were closed now.
+  bool HasWork() const;
+  /// Sends a frame that must arrive, also over a later connection.
+  void SendNumbered(const LinkFrame& aFrame);
 
   /// Verifies the proof in a hello message. Returns whether the peer is authenticated. No other
   /// message of an opener is accepted before its hello.
@@ -61,11 +88,9 @@
   void Receive(const LinkEnvelope& aEnvelope);
   void SendQueued();
   void SendNow(const LinkMessage& aMessage);
-  void OnFrame(const std::string& aBytes);
   void OnFragment(const Fragment& aFragment);
-  void Ping(TimePoint aNow);
-  static void OnReadable(bufferevent* aSocket, void* aContext);
-  static void OnSocketEvent(bufferevent* aSocket, short aEvents, void* aContext);
+  void OnCredit(const FragmentCredit& aCredit);
+  void CountReceived();
 
   WebsocketLinks& owner_;
   LinkId id_;
@@ -73,11 +98,16 @@
   TimePoint createdAt_;
   TimePoint lastReceived_;
   TimePoint lastUsed_;
-  std::optional<TimePoint> pingedAt_;
-  bufferevent* socket_ = nullptr;
-  std::unique_ptr<WebsocketSession> session_;
+  /// Since when an opener tries to continue over another connection, or an accepted link waits for
+  /// one.
+  std::optional<TimePoint> interruptedAt_;
+  std::unique_ptr<LinkConnection> connection_;
+  LinkDelivery delivery_;
+  uint64_t token_ = 0;
   std::optional<Endpoint> peer_;
   bool isOutgoing_ = false;
+  /// Whether the link was open before; then it may be continued.
+  bool wasOpen_ = false;
   bool isOpen_ = false;
   bool isVerifying_ = false;
   bool isAuthenticated_ = false;
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Duration kCheckPeriod = milliseconds(250);
+constexpr Duration kCheckPeriod = milliseconds(50);
 constexpr int kBacklog = 1024;
 /// Maximum number of handshakes in progress. Further connections wait in the listen queue, so that
 /// many peers that reconnect at the same time do not delay the calls in progress.
@@ -31,6 +31,7 @@
   , keys_(std::move(aKeys))
   , fragmentsLargeMessages_(aFragmentsLargeMessages)
   , maxInFlightBytes_(aMaxInFlightBytes)
+  , random_(aSeed)
   , backoff_(aSeed)
 {
 }
@@ -40,6 +41,7 @@
   Stop();
   links_.clear();
   closed_.clear();
+  retiredConnections_.clear();
 }
 
 absl::Status WebsocketLinks::Start()
@@ -72,6 +74,7 @@
   }
   checkTimer_.Cancel();
   closeTimer_.Cancel();
+  ackTimer_.Cancel();
 }
 
 LinkId WebsocketLinks::Open(const Endpoint& aPeer, Lane aLane)
@@ -148,6 +151,43 @@
   accepted.AcceptConnection(aSocket);
 }
 
+void WebsocketLinks::Resume(Link& aReplacement, const Hello& aHello)
+{
+  auto found = linksByToken_.find(aHello.token);
+  Link* interrupted = found == linksByToken_.end() ? nullptr : Find(found->second);
+  bool isKnown = interrupted != nullptr && interrupted->Peer() == aHello.endpoint;
+  if (!isKnown) {
+    aReplacement.RefuseResume();
+    return;
+  }
+  interrupted->ContinueOver(aReplacement, aHello);
+  // The rest of the replacement has carried no message.
+  auto replacement = links_.find(aReplacement.Id());
+  closed_.push_back(std::move(replacement->second));
+  links_.erase(replacement);
+}
+
+void WebsocketLinks::ScheduleAck(LinkId aLink)
+{
+  owesAcks_.push_back(aLink);
+  if (!ackTimer_.IsPending()) {
+    ackTimer_ = loop_.After(kAckDelay, [this] {
+      ackTimer_.Cancel();
+      SendAcks();
+    });
+  }
+}
+
+void WebsocketLinks::SendAcks()
+{
+  for (LinkId id : std::exchange(owesAcks_, {})) {
+    Link* link = Find(id);
+    if (link != nullptr) {
+      link->SendAck();
+    }
+  }
+}
+
 void WebsocketLinks::OnOpened(const Link& aLink)
 {
   if (aLink.IsOutgoing()) {
@@ -160,7 +200,8 @@
 void WebsocketLinks::OnOpenFailed(const Link& aLink)
 {
   if (!aLink.IsOutgoing()) {
-    AdjustHandshakes(-1);
+    // An interrupted link had completed its handshake.
+    AdjustHandshakes(aLink.WasOpen() ? 0 : -1);
   } else if (aLink.IsConnecting()) {
     backoff_.OnConnectFailed(*aLink.Peer(), loop_.Now());
   }
@@ -216,6 +257,10 @@
   if (link->IsOutgoing()) {
     linksByKey_.erase(LinkKey(*link->Peer(), link->LaneOf()));
   }
+  auto registered = linksByToken_.find(link->Token());
+  if (!link->IsOutgoing() && registered != linksByToken_.end() && registered->second == aId) {
+    linksByToken_.erase(registered);
+  }
   CountInFlight(link->BytesInFlight(), 0);
   std::vector<LinkMessage> unsent = link->TakeUnsent();
   link->Detach();
@@ -228,6 +273,7 @@
 void WebsocketLinks::CheckLinks()
 {
   closed_.clear();
+  retiredConnections_.clear();
   TimePoint now = loop_.Now();
   backoff_.RemoveExpired(now);
   std::vector<LinkId> expired;
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -9,12 +9,15 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 
 struct evconnlistener;
 
 namespace dandelion {
 
+class LinkConnection;
+
 class WebsocketLinks
   : public Service
   , public Links
@@ -64,6 +67,12 @@
   /// Closes a new link from the loop, so that the close is reported after `Open` has returned the
   /// ID.
   void CloseFromLoop(LinkId aId);
+  /// Continues an interrupted link over the connection on which its opener has sent `aHello`.
+  void Resume(Link& aReplacement, const Hello& aHello);
+  void Register(uint64_t aToken, LinkId aLink) { linksByToken_[aToken] = aLink; }
+  /// Acknowledges what a link has received after `kAckDelay`, together with other links.
+  void ScheduleAck(LinkId aLink);
+  void SendAcks();
   void OnOpened(const Link& aLink);
   void OnOpenFailed(const Link& aLink);
   void AdjustHandshakes(int aChange);
@@ -87,8 +96,15 @@
   LinkId nextId_ = 1;
   std::map<LinkId, std::unique_ptr<Link>> links_;
   std::map<LinkKey, LinkId> linksByKey_;
-  /// Closed links, which are kept until libevent has returned from their callbacks.
+  /// Accepted links, by the token of their opener.
+  std::map<uint64_t, LinkId> linksByToken_;
+  /// Closed links and replaced connections, which are kept until libevent has returned from their
+  /// callbacks.
   std::vector<std::unique_ptr<Link>> closed_;
+  std::vector<std::unique_ptr<LinkConnection>> retiredConnections_;
+  std::mt19937_64 random_;
+  std::vector<LinkId> owesAcks_;
+  Timer ackTimer_;
   ReconnectBackoff backoff_;
   /// Links that are closed in the next iteration of the loop.
   std::vector<LinkId> deferredCloses_;
--- a/src/wire/WebsocketSession.cpp
+++ b/src/wire/WebsocketSession.cpp
@@ -107,12 +107,6 @@
     return isOpener ? peerNonce_ + ownNonce_ : ownNonce_ + peerNonce_;
   }
 
-  void Ping() override
-  {
-    websocketpp::lib::error_code error;
-    connection_->ping("", error);
-  }
-
 private:
   /// Authenticates the listener: it signs the challenge, which contains the opener's fresh nonce.
   bool RespondToNonce()
--- a/src/wire/WebsocketSession.h
+++ b/src/wire/WebsocketSession.h
@@ -42,8 +42,6 @@
   virtual void Send(const std::string& aMessage) = 0;
   /// The nonces of both sides in one string, the listener's first. Each side signs it.
   virtual std::string Challenge() const = 0;
-  /// Sends a websocket ping, which the peer answers.
-  virtual void Ping() = 0;
 };
 
 } // namespace dandelion
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -8,6 +8,7 @@
 #include "wire/Fragments.h"
 #include "wire/Http.h"
 #include "wire/HttpUpstream.h"
+#include "wire/LinkDelivery.h"
 #include "wire/Links.h"
 #include "wire/Messages.h"
 #include "wire/ReconnectBackoff.h"
