An answer without the call's id is believed on a new connection only

An upstream may write an earlier answer once more on a connection that is in use again. A success and a refusal without an id were not believed there, but a failure was, so that the next caller could get a failure that was not its own.

Cause: the id was asked for by kind of answer. It is now asked for by connection: on a kept one, an answer without the id has an unknown outcome, whatever it says.

--- a/src/wire/UpstreamAnswer.cpp
+++ b/src/wire/UpstreamAnswer.cpp
@@ -86,14 +86,15 @@
   result.isRetried = !FindHeader(response.headers, kRetriedHeader).empty();
   bool identifiesCall = aHeaderNames.requestId.empty() || aCall.requestId.empty() ||
                         !FindHeader(response.headers, aHeaderNames.requestId).empty();
-  if (IsRefusal(response, aHeaderNames)) {
-    // On a kept connection, a refusal without the call's id may be an earlier one written again.
-    bool isOfThisCall = identifiesCall || aResult.isFirstOnConnection;
-    result.outcome = isOfThisCall ? CallOutcome::NotRun : CallOutcome::Unknown;
-    result.rejectReason = isOfThisCall ? "" : "refusal without the request ID header";
+  // On a kept connection, an answer without the call's id may be a copy of an earlier one.
+  if (!identifiesCall && !aResult.isFirstOnConnection) {
+    result.rejectReason = "answer without the request ID header";
+  } else if (IsRefusal(response, aHeaderNames)) {
+    result.outcome = CallOutcome::NotRun;
     return result;
+  } else {
+    result.rejectReason = FindRejectReason(response, aHeaderNames);
   }
-  result.rejectReason = FindRejectReason(response, aHeaderNames);
   if (result.rejectReason.empty() && IsSuccess(response.status) && !identifiesCall) {
     result.rejectReason = "success without the request ID header";
   }
--- a/test/error/RepeatedRefusals.cpp
+++ b/test/error/RepeatedRefusals.cpp
@@ -77,6 +77,17 @@
   cr_assert_eq(caller.Call("id-2"), CallOutcome::Ran);
 }
 
+/// A copy of an earlier failure that names no call must not become the answer to the next one.
+Test(repeated_refusals, failure_without_an_id_is_no_answer_on_a_kept_connection)
+{
+  const std::string kFailure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+  Caller caller([&](int /* aConnection */, int aRequest) {
+    return aRequest == 0 ? kFailure : kFailure + Success("id-2");
+  });
+  cr_assert_eq(caller.Call("id-1"), CallOutcome::Ran);
+  cr_assert_eq(caller.Call("id-2"), CallOutcome::Unknown);
+}
+
 /// A refusal that names no call may be the repeated one of an earlier call.
 Test(repeated_refusals, refusal_without_an_id_promises_nothing_on_a_kept_connection)
 {
--- a/test/support/ScriptedUpstream.h
+++ b/test/support/ScriptedUpstream.h
@@ -40,6 +40,9 @@
                                         reinterpret_cast<sockaddr*>(&address),
                                         sizeof(address));
   }
+  /// Ends the connection behind the bytes of each answer.
+  void CloseAfterAnswers() { closesAfterAnswers_ = true; }
+
   ~ScriptedUpstream()
   {
     evconnlistener_free(listener_);
@@ -73,7 +76,9 @@
     auto onWritten = [](bufferevent* aBufferevent, void* aContext) {
       auto* self = static_cast<Connection*>(aContext);
       const std::string& repeated = self->upstream->repeated_;
-      if (self->requests > 0 && !repeated.empty()) {
+      if (self->requests > 0 && self->upstream->closesAfterAnswers_) {
+        shutdown(bufferevent_getfd(aBufferevent), SHUT_WR);
+      } else if (self->requests > 0 && !repeated.empty()) {
         bufferevent_write(aBufferevent, repeated.data(), repeated.size());
       }
     };
@@ -85,6 +90,7 @@
   Loop& loop_;
   Script script_;
   std::string repeated_;
+  bool closesAfterAnswers_ = false;
   evconnlistener* listener_ = nullptr;
   std::vector<std::unique_ptr<Connection>> connections_;
 };
