A node that is behind reads the store after two pulls that bring nothing

Cause: pulls waited 0.5, 1 and 2 s before the store was read, 3.75 s with the wait for a push, and nothing compared the sum with the bound of 2.5 s. The store is now read after two pulls of 0.5 s each; a static assertion holds the sum. Waits double only with reads of the store that do not help.

--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -18,8 +18,6 @@
 constexpr Duration kStorePollPeriod = seconds(10);
 /// A relay without contact to the store's region for this long polls the store itself.
 constexpr Duration kStoreRegionTimeout = seconds(10);
-/// On the platform, a node that is behind waits this long for a push before it pulls the version.
-constexpr Duration kPushWait = milliseconds(250);
 constexpr Duration kProgressRequestTimeout = seconds(2);
 /// A snapshot is written each time the log has grown by this many notes.
 constexpr Version kNotesPerCompaction = 128;
--- a/src/spread/CatchUp.cpp
+++ b/src/spread/CatchUp.cpp
@@ -6,10 +6,7 @@
 
 namespace {
 
-constexpr Duration kInitialPullTimeout = milliseconds(500);
 constexpr Duration kMaxPullTimeout = seconds(4);
-/// After this many pulls without a result the store's log is read.
-constexpr int kFailedPullsBeforeStore = 3;
 /// Maximum number of peers ahead to remember; one that delivers is enough.
 constexpr size_t kMaxPeersAhead = 8;
 
@@ -40,6 +37,7 @@
   inForce_ = aVersion;
   highestSeen_ = std::max(highestSeen_, aVersion);
   failedPulls_ = 0;
+  failedStoreReads_ = 0;
   pullStartedAt_.reset();
   behindSince_.reset();
   for (auto peer = peersAhead_.begin(); peer != peersAhead_.end();) {
@@ -66,9 +64,12 @@
     ++failedPulls_;
   }
   pullStartedAt_ = aNow;
-  pullTimeout_ = std::min(kInitialPullTimeout * (1 << std::min(failedPulls_, 3)), kMaxPullTimeout);
+  constexpr int kMaxDoublings = 3;
+  pullTimeout_ =
+    std::min(kPullTimeout * (1 << std::min(failedStoreReads_, kMaxDoublings)), kMaxPullTimeout);
   if (peersAhead_.empty() || failedPulls_ >= kFailedPullsBeforeStore) {
     failedPulls_ = 0;
+    ++failedStoreReads_;
     return PullFromStore{};
   }
   auto hasLowerVersion = [](const auto& aA, const auto& aB) { return aA.second < aB.second; };
--- a/src/spread/CatchUp.h
+++ b/src/spread/CatchUp.h
@@ -4,6 +4,7 @@
 
 #include "membership/Membership.h"
 #include "release/Release.h"
+#include "spread/Freshness.h"
 
 #include <map>
 #include <optional>
@@ -22,6 +23,16 @@
 {};
 using CatchUpEffect = std::variant<PullFromPeer, PullFromStore>;
 
+/// On the platform, a node that is behind waits this long for a push before it pulls the version.
+constexpr Duration kPushWait = milliseconds(250);
+/// Time for a peer to deliver. It doubles with each read of the store that has not helped.
+constexpr Duration kPullTimeout = milliseconds(500);
+/// After this many pulls without a result the store is read.
+constexpr int kFailedPullsBeforeStore = 2;
+
+// Peers that do not deliver must not keep a node from the version until it is late.
+static_assert(kPushWait + kFailedPullsBeforeStore * kPullTimeout + kReadAllowance <= kApplyLimit);
+
 class CatchUp
 {
 public:
@@ -58,6 +69,7 @@
   std::optional<TimePoint> pullStartedAt_;
   Duration pullTimeout_ = Duration::zero();
   int failedPulls_ = 0;
+  int failedStoreReads_ = 0;
 };
 
 } // namespace dandelion
--- a/test/property/StalenessIsBounded.cpp
+++ b/test/property/StalenessIsBounded.cpp
@@ -77,3 +77,28 @@
   cr_assert_not(freshness.ShouldSend(At(900)));
   cr_assert(freshness.ShouldSend(At(1000) + kMinConfirmationInterval));
 }
+
+/// Guards against a node that keeps pulling from peers behind silent links instead of asking the
+/// store.
+Test(catch_up, peers_that_do_not_deliver_keep_no_node_from_the_store)
+{
+  CHECK_PROPERTY("the store is read in time", [] {
+    CatchUp catchUp(kPushWait);
+    catchUp.OnVersionInForce(5, At(0));
+    constexpr int kCheckMs = 50;
+    std::optional<int> readAt;
+    for (int now = 0; now <= 5000 && !readAt.has_value(); now += kCheckMs) {
+      bool isReported = now == 0 || *rc::gen::inRange(0, 4) == 0;
+      if (isReported) {
+        Endpoint peer{ "10.0.0.1", static_cast<uint16_t>(*rc::gen::inRange(1, 4)) };
+        catchUp.OnVersionSeen(peer, *rc::gen::inRange<Version>(6, 9));
+      }
+      std::optional<CatchUpEffect> effect = catchUp.Next(At(now));
+      if (effect.has_value() && std::holds_alternative<PullFromStore>(*effect)) {
+        readAt = now;
+      }
+    }
+    RC_ASSERT(readAt.has_value());
+    RC_ASSERT(milliseconds(*readAt) <= kApplyLimit - kReadAllowance);
+  });
+}
