A stopping node refuses late calls that it could not finish

In a planned stop, a request that arrived late in the grace time on a connection in use, or whose last byte did, was passed on and answered with 504 when the process had to end, even if it must not be repeated.

Cause: the stop closed idle connections after its notice, but nothing looked at the time that is left when a request became complete. After the notice, a call now begins only if its deadline lies before the end of the stop; others are refused at once as not run. A second signal moves that end.

--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -124,6 +124,10 @@
   call.limits = LimitsFor(policy, call.request.limits, call.beganAt);
   call.attempts =
     Attempts(IsIdempotent(call.request, policy), call.limits.attempts, call.limits.deadline);
+  if (latestEnd_.has_value() && call.limits.deadline > *latestEnd_) {
+    Answer(aId, MakeRefusal(ErrorKind::Leaving, "this node is stopping; call another"));
+    return;
+  }
   call.deadlineTimer =
     context_.loop.After(call.limits.deadline - now, [this, aId] { OnDeadline(aId); });
   retryBudgets_.For(call.service).OnCall();
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -23,6 +23,7 @@
   CallId Begin(CallerRequest aRequest, OnAnswer aDone) override;
   void Cancel(CallId aId) override;
   void HedgeOutstanding() override;
+  void RefuseCallsEndingAfter(TimePoint aLatestEnd) override { latestEnd_ = aLatestEnd; }
   void AnswerOutstanding() override;
   size_t InProgress() const override { return calls_.size(); }
 
@@ -98,6 +99,8 @@
   Hedging hedging_;
   SplitChoice splits_;
   RetryBudgets retryBudgets_;
+  /// Calls that may end later are refused.
+  std::optional<TimePoint> latestEnd_;
   std::mt19937_64 random_;
   Links* links_ = nullptr;
   Releases* releases_ = nullptr;
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -225,6 +225,7 @@
   }
   if (!stopPlan_.AcceptsCallers(now)) {
     front.StopListening();
+    calls.RefuseCallsEndingAfter(stopPlan_.Deadline());
   }
   if (stopPlan_.IsPastHalfTime(now) && !hasHedgedOutstanding_) {
     hasHedgedOutstanding_ = true;
--- a/src/dandeliond/Services.h
+++ b/src/dandeliond/Services.h
@@ -249,6 +249,9 @@
   /// Hedges the outstanding calls that may run twice and have one open attempt: sends each to a
   /// second upstream. A stopping node does so when it cannot wait much longer for the first answer.
   virtual void HedgeOutstanding() = 0;
+  /// Refuses new calls whose deadline is later than this, as not run. A stopping node could not
+  /// wait for their answers.
+  virtual void RefuseCallsEndingAfter(TimePoint aLatestEnd) = 0;
   /// Answers all calls in progress now, with what is known of each.
   virtual void AnswerOutstanding() = 0;
   virtual size_t InProgress() const = 0;
--- a/src/dandeliond/StopPlan.h
+++ b/src/dandeliond/StopPlan.h
@@ -35,6 +35,8 @@
   bool AcceptsPeerCalls(TimePoint aNow) const { return aNow < departureBegin_; }
   /// After a request: whether new connections of callers are still accepted.
   bool AcceptsCallers(TimePoint aNow) const { return aNow < noticeEnd_; }
+  /// After the notice, a call may begin only if it ends before this, so that it is not cut off.
+  TimePoint Deadline() const { return deadline_; }
   /// Whether half of the time for calls in progress has passed. Then they should no longer depend
   /// on the upstreams that they were sent to.
   bool IsPastHalfTime(TimePoint aNow) const
--- a/test/correctness/CallsAreRetriedSafely.cpp
+++ b/test/correctness/CallsAreRetriedSafely.cpp
@@ -233,3 +233,22 @@
   fixture.calls->HedgeOutstanding();
   cr_assert_eq(fixture.sent.size(), 1);
 }
+
+Test(callers_node, stopping_refuses_calls_that_it_could_not_finish)
+{
+  // A call that arrives late in a planned stop would be cut off at its end without an answer.
+  for (const std::string method : { "GET", "POST" }) {
+    Fixture fixture;
+    Duration limit =
+      milliseconds(fixture.releases->Current()->policies.begin()->second.spec.timeoutMs);
+    TimePoint now = fixture.loop.Now();
+    fixture.calls->RefuseCallsEndingAfter(now + limit - milliseconds(1));
+    fixture.Begin(method);
+    cr_assert(fixture.sent.empty());
+    cr_assert_eq(fixture.answers.size(), 1);
+    cr_assert(fixture.answers[0].outcome == CallOutcome::NotRun);
+    fixture.calls->RefuseCallsEndingAfter(now + limit + seconds(10));
+    fixture.Begin(method);
+    cr_assert_eq(fixture.sent.size(), 1);
+  }
+}
--- a/test/correctness/StopPlanKeepsItsDeadlines.cpp
+++ b/test/correctness/StopPlanKeepsItsDeadlines.cpp
@@ -52,3 +52,13 @@
   cr_assert(plan.MayExit(start + milliseconds(6200), false));
   cr_assert_not(plan.AcceptsCallers(start + milliseconds(2600)));
 }
+
+Test(stop_plan, deadline_follows_the_latest_request)
+{
+  StopPlan plan(StopLimits{ milliseconds(2500), seconds(1), milliseconds(5700) });
+  TimePoint start(seconds(1));
+  plan.RequestStop(start);
+  cr_assert(plan.Deadline() == start + milliseconds(5700));
+  plan.RequestStop(start + milliseconds(900));
+  cr_assert(plan.Deadline() == start + milliseconds(6600));
+}
