A request's head has its time as a whole

A caller that sent its head byte by byte held a connection for good: the time-out counted from the last byte that arrived. It counts from the first byte of the head now; a body may take longer as long as bytes arrive.

--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -121,6 +121,7 @@
   bool hasSentContinue_ = false;
   bool isReading_ = false;
   TimePoint lastActivity_;
+  TimePoint headBeganAt_;
   friend class HttpServer::Exchange;
 };
 
@@ -243,6 +244,9 @@
   evbuffer* input = bufferevent_get_input(socket_);
   while (exchange_ == nullptr && !closesWhenWritten_ && evbuffer_get_length(input) > 0) {
     lastActivity_ = server_.loop_.Now();
+    if (!parser_.HasStarted()) {
+      headBeganAt_ = lastActivity_;
+    }
     size_t contiguous = evbuffer_get_contiguous_space(input);
     const char* bytes =
       reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(contiguous)));
@@ -366,9 +370,12 @@
   if (exchange_ != nullptr) {
     return false;
   }
-  Duration limit =
-    parser_.HasStarted() ? server_.limits_.headerTimeout : server_.limits_.idleTimeout;
-  return aNow - lastActivity_ > limit;
+  if (!parser_.HasStarted()) {
+    return aNow - lastActivity_ > server_.limits_.idleTimeout;
+  }
+  // A head has this time as a whole; a body may take longer as long as bytes arrive.
+  TimePoint since = parser_.HasHeaders() ? lastActivity_ : headBeganAt_;
+  return aNow - since > server_.limits_.headerTimeout;
 }
 
 HttpServer::HttpServer(Loop& aLoop, HttpHandler aHandler)
