Give back the retry of a refused hedge, and ask again

A stopping node broke lookups off with 504 although other upstreams were free: it sent each to a second upstream once, and when that one's node refused it, the retry taken from the budget was lost and nobody else was asked. A node's share of the budget is one or two retries on a large site.

--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -213,7 +213,7 @@
                      fmt::format("service \"{}\" has no upstream within reach", call.service)));
 }
 
-void CallsService::SendAttempt(CallId aId, const Member& aMember)
+void CallsService::SendAttempt(CallId aId, const Member& aMember, bool aHasTakenRetry)
 {
   Call& call = calls_.at(aId);
   AttemptId id = nextAttempt_++;
@@ -221,6 +221,7 @@
   Attempt& attempt = call.openAttempts[id];
   attempt.member = aMember.id;
   attempt.sentAt = context_.loop.Now();
+  attempt.hasTakenRetry = aHasTakenRetry;
   OpenCall openCall = MakeOpenCall(call, id);
   attempt.isShortWait = openCall.maxQueueDelayMs.has_value();
   call.tried.OnSent(aMember.id);
@@ -408,6 +409,10 @@
                                           Duration(aReply.linkDelayUs) };
   }
   choice_.OnAttemptEnded(found->second.member, result, now);
+  if (found->second.hasTakenRetry && aReply.outcome == CallOutcome::NotRun &&
+      !aReply.hasReachedUpstream) {
+    retryBudgets_.For(aCall.service).Return();
+  }
   if (found->second.isShortWait && aReply.error == ErrorKind::Overloaded &&
       !aReply.hasReachedUpstream) {
     aCall.tried.OnShortWaitRefused(found->second.member);
@@ -492,7 +497,7 @@
         "Asked {} as well after {} ms: this node may stop before the first attempt is answered.",
         member->id,
         ToMilliseconds(context_.loop.Now() - found->second.beganAt));
-      SendAttempt(id, *member);
+      SendAttempt(id, *member, true);
     }
   }
 }
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -42,6 +42,8 @@
     TimePoint sentAt;
     /// Sent with a maximum queue delay: the upstream's node refuses it if it would wait longer.
     bool isShortWait = false;
+    /// A retry was taken from the budget for it in advance.
+    bool hasTakenRetry = false;
   };
   struct Call
   {
@@ -77,7 +79,7 @@
   const Member* ChooseFor(const Call& aCall);
   /// Sends the next attempt, or answers the call where no upstream is left.
   void SendNext(CallId aId);
-  void SendAttempt(CallId aId, const Member& aMember);
+  void SendAttempt(CallId aId, const Member& aMember, bool aHasTakenRetry = false);
   void SendLocally(CallId aId, AttemptId aAttempt, const OpenCall& aOpenCall);
   OpenCall MakeOpenCall(const Call& aCall, AttemptId aAttempt) const;
   void ScheduleHedge(CallId aId);
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -31,6 +31,9 @@
 /// Two fragments: with only one in flight, a round trip would pass between any two.
 constexpr size_t kMinInFlightBytes = 2 * kFragmentBytes;
 constexpr Duration kIdleCheckPeriod = milliseconds(50);
+/// In the second half of a stop, calls whose second upstream has refused them ask another one after
+/// this time: long enough for a refusal from another region.
+constexpr Duration kHedgePeriod = milliseconds(250);
 /// Time to send the last answers and the announcement that this node is gone.
 constexpr Duration kFlushTime = milliseconds(100);
 
@@ -227,8 +230,8 @@
     front.StopListening();
     calls.RefuseCallsEndingAfter(stopPlan_.Deadline());
   }
-  if (stopPlan_.IsPastHalfTime(now) && !hasHedgedOutstanding_) {
-    hasHedgedOutstanding_ = true;
+  if (stopPlan_.IsPastHalfTime(now) && now >= nextHedge_) {
+    nextHedge_ = now + kHedgePeriod;
     calls.HedgeOutstanding();
   }
   bool isIdle = isDrained_ && calls.InProgress() == 0 && front.BusyConnections() == 0;
--- a/src/dandeliond/Node.h
+++ b/src/dandeliond/Node.h
@@ -35,7 +35,7 @@
   StopPlan stopPlan_;
   bool isDrained_ = false;
   bool hasAnnouncedDeparture_ = false;
-  bool hasHedgedOutstanding_ = false;
+  TimePoint nextHedge_;
   Timer timer_;
 };
 
--- a/src/routing/Attempts.cpp
+++ b/src/routing/Attempts.cpp
@@ -32,6 +32,11 @@
   return true;
 }
 
+void RetryBudget::Return()
+{
+  balance_ = std::min(limits_.burst, balance_ + 1);
+}
+
 void RetryBudget::SetLimits(RetryLimits aLimits)
 {
   limits_ = aLimits;
--- a/src/routing/Attempts.h
+++ b/src/routing/Attempts.h
@@ -28,6 +28,8 @@
   void OnCall();
   /// Takes one retry from the budget. Returns whether there was one.
   bool TryTake();
+  /// Gives back what was taken for an attempt that has not reached an upstream.
+  void Return();
   /// Replaces the limits. A balance above the new burst is cut to it.
   void SetLimits(RetryLimits aLimits);
 
--- a/test/correctness/CallsAreRetriedSafely.cpp
+++ b/test/correctness/CallsAreRetriedSafely.cpp
@@ -286,3 +286,23 @@
     cr_assert_neq(fixture.sent.at(i).first, distant);
   }
 }
+
+Test(callers_node, refused_hedge_leaves_the_budget_for_the_next_one)
+{
+  // Guards against a stop that breaks a lookup off because the one other upstream that it was sent
+  // to had no free slot.
+  Fixture fixture;
+  fixture.settings.retries.ratio = 0;
+  fixture.settings.retries.burst = 1;
+  fixture.calls =
+    &AddService<CallsService>(fixture.registry, ServiceName::Front, fixture.context, 3u);
+  cr_assert(fixture.calls->Start().ok());
+  fixture.membership->table.Merge(MakeMember("c", "s0", 4));
+  fixture.Begin("GET");
+  fixture.calls->HedgeOutstanding();
+  cr_assert_eq(fixture.sent.size(), 2);
+  fixture.Reply(CallOutcome::NotRun, ErrorKind::Overloaded);
+  fixture.calls->HedgeOutstanding();
+  cr_assert_eq(fixture.sent.size(), 3);
+  cr_assert(fixture.answers.empty());
+}
