A slow way to a peer is not taken for a silent connection

The ack time-out ran from the oldest unacknowledged frame, also while acknowledgements arrived one by one, and was at most 0.8 s. On a way that takes longer, each connection would have been replaced and all frames sent again, which makes the way slower still.

The time-out runs from the latest acknowledgement, grows to 1.6 s, and is twice as long while the peer is heard. link_delivery/slow_way_is_not_taken_for_silence and link_delivery/peer_that_is_heard_has_more_time_to_acknowledge, built with the rule of before, fail; the first at its fifth frame, acknowledged after 950 ms.

--- a/src/wire/LinkDelivery.cpp
+++ b/src/wire/LinkDelivery.cpp
@@ -14,6 +14,9 @@
   if (aReceived > acknowledged_ + unacknowledged_.size()) {
     return false;
   }
+  if (acknowledged_ < aReceived) {
+    acknowledgedAt_ = aNow;
+  }
   while (acknowledged_ < aReceived) {
     const SentFrame& frame = unacknowledged_.front();
     // A frame that was sent twice does not tell which copy is acknowledged.
@@ -44,8 +47,10 @@
 
 std::optional<TimePoint> LinkDelivery::WaitingSince() const
 {
-  return unacknowledged_.empty() ? std::nullopt
-                                 : std::optional<TimePoint>(unacknowledged_.front().sentAt);
+  if (unacknowledged_.empty()) {
+    return std::nullopt;
+  }
+  return std::max(unacknowledged_.front().sentAt, acknowledgedAt_);
 }
 
 Duration LinkDelivery::AckTimeout() const
@@ -59,10 +64,13 @@
   return std::min(kMaxAckTimeout, timeout * (1 << std::min(backoff_, kMaxBackoff)));
 }
 
-bool LinkDelivery::IsOverdue(TimePoint aNow) const
+bool LinkDelivery::IsOverdue(TimePoint aNow, TimePoint aLastReceived) const
 {
   std::optional<TimePoint> since = WaitingSince();
-  return since.has_value() && aNow - *since > AckTimeout();
+  Duration timeout = AckTimeout();
+  constexpr int kBusyFactor = 2;
+  bool isBusy = aNow - aLastReceived < timeout;
+  return since.has_value() && aNow - *since > timeout * (isBusy ? kBusyFactor : 1);
 }
 
 void LinkDelivery::AddRoundTrip(Duration aRoundTrip)
--- a/src/wire/LinkDelivery.h
+++ b/src/wire/LinkDelivery.h
@@ -17,7 +17,7 @@
 
 /// Bounds of the time within which a frame must be acknowledged.
 constexpr Duration kMinAckTimeout = milliseconds(200);
-constexpr Duration kMaxAckTimeout = milliseconds(800);
+constexpr Duration kMaxAckTimeout = milliseconds(1600);
 /// The same before the first acknowledgement.
 constexpr Duration kInitialAckTimeout = milliseconds(400);
 /// An acknowledgement waits this long for other frames, so that it covers several of them.
@@ -49,17 +49,20 @@
     bool isResent = false;
   };
   const std::deque<SentFrame>& Unacknowledged() const { return unacknowledged_; }
-  /// When the oldest unacknowledged frame was sent; no value without one.
+  /// Since when an acknowledgement is awaited: since the oldest unacknowledged frame was sent, or
+  /// the one before it was acknowledged. No value if none is awaited.
   std::optional<TimePoint> WaitingSince() const;
   Duration AckTimeout() const;
-  /// Whether an acknowledgement is overdue, so that the connection should be replaced.
-  bool IsOverdue(TimePoint aNow) const;
+  /// Whether an acknowledgement is overdue, so that the connection should be replaced. A peer that
+  /// was heard since is busy rather than silent, and has twice the time.
+  bool IsOverdue(TimePoint aNow, TimePoint aLastReceived) const;
 
 private:
   void AddRoundTrip(Duration aRoundTrip);
 
   std::deque<SentFrame> unacknowledged_;
   uint64_t acknowledged_ = 0;
+  TimePoint acknowledgedAt_;
   uint64_t received_ = 0;
   uint64_t lastAck_ = 0;
   /// Smoothed round trip and its variation, as in RFC 6298.
--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -7,8 +7,9 @@
 constexpr Duration kConnectTimeout = seconds(2);
 /// Longest time to continue a link over another connection, before its peer counts as unreachable.
 constexpr Duration kResumeTimeout = seconds(1);
-/// An accepted link without a connection is kept for this long: the opener's longest time to find
-/// the connection silent, to connect, and a margin for a busy machine.
+/// An accepted link without a connection, or whose opener acknowledges nothing, is kept for this
+/// long: the opener's longest time to find the connection silent, to connect, and a margin for a
+/// busy machine.
 constexpr Duration kResumeWindow = kMaxAckTimeout + kResumeTimeout + milliseconds(500);
 /// A link with awaited answers is probed if nothing was received for this time.
 constexpr Duration kProbeAfterSilence = milliseconds(250);
@@ -87,7 +88,7 @@
     std::optional<TimePoint> waitingSince = delivery_.WaitingSince();
     return waitingSince.has_value() && aNow - *waitingSince > kResumeWindow;
   }
-  if (delivery_.IsOverdue(aNow)) {
+  if (delivery_.IsOverdue(aNow, lastReceived_)) {
     Reconnect(aNow);
     return false;
   }
