A hello on an open link closes it

A peer that sent a hello on a link that was open already, naming that link, ended the process: the link would have continued over its own connection. A hello is taken as the first message on an accepted connection only.

silent_links/hello_on_an_open_link_closes_it crashed before.

--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -265,6 +265,11 @@
     return;
   }
   const auto* hello = std::get_if<Hello>(&aEnvelope.message);
+  if (hello != nullptr && (isOutgoing_ || wasOpen_)) {
+    owner_.CloseWithError(
+      id_, MakeError(ErrorKind::BrokenMessage, "a hello is only the first message of an opener"));
+    return;
+  }
   if (hello == nullptr) {
     CountReceived();
   } else if (hello->resumes) {
--- a/test/correctness/SilentLinksContinue.cpp
+++ b/test/correctness/SilentLinksContinue.cpp
@@ -7,6 +7,8 @@
 #include "LinkStandin.h"
 #include "wire/Wire.h"
 
+#include <random>
+
 using namespace dandelion;
 using namespace dandelion::testing;
 
@@ -35,8 +37,10 @@
     reply.body.data = std::string(aBytes, 'x');
     links_.Send(link, reply);
   }
+  void OnLinkClosed(LinkId, const std::vector<LinkMessage>&) override { ++closed; }
   std::vector<uint64_t> calls;
   LinkId link = 0;
+  int closed = 0;
 
 private:
   WebsocketLinks& links_;
@@ -165,3 +169,17 @@
   mesh.SilenceOpenConnections();
   cr_assert(RunUntil(mesh.loop, [&] { return mesh.received.closed == 1; }));
 }
+
+/// A hello on an open link, or one that names its own link, must not end the process.
+Test(silent_links, hello_on_an_open_link_closes_it)
+{
+  Mesh mesh;
+  mesh.Call(1);
+  cr_assert(RunUntil(mesh.loop, [&] { return mesh.answerer.calls.size() == 1; }));
+  Hello hello{ "caller", LoopbackOf(2) };
+  // The caller draws the token of its first link from its seed.
+  hello.token = std::mt19937_64(2)();
+  hello.resumes = true;
+  mesh.caller.Send(mesh.caller.Open(LoopbackOf(3), Lane::Short), hello);
+  cr_assert(RunUntil(mesh.loop, [&] { return mesh.answerer.closed == 1; }));
+}
