The loop releases connections whose callbacks libevent has deferred

Cause: a connection that is freed while one of its callbacks is deferred is released when the loop runs the callback, and the loop had ended. Its socket stays open as well. The loop now runs once more, without waiting, before it is destroyed; its users and its signals are gone by then.

--- a/src/kernel/Loop.cpp
+++ b/src/kernel/Loop.cpp
@@ -57,6 +57,8 @@
 Loop::~Loop()
 {
   signals_.clear();
+  // A connection that was freed while one of its callbacks was deferred is released by the loop.
+  event_base_loop(base_, EVLOOP_NONBLOCK);
   event_base_free(base_);
 }
 
