Split the messages and answers of calls from CallsService

These depend on the call alone: CallInProgress holds it, CallMessages builds them without side effects, with the present time as an argument. The texts of answers and log lines are unchanged. No change of behaviour; the tests of callers_node pass unchanged.

--- /dev/null
+++ b/src/dandeliond/CallInProgress.h
@@ -0,0 +1,51 @@
+/// What the calls service knows of a call until it is answered.
+#ifndef DANDELION_DANDELIOND_CALL_IN_PROGRESS_H
+#define DANDELION_DANDELIOND_CALL_IN_PROGRESS_H
+
+#include "dandeliond/Services.h"
+
+#include <map>
+
+namespace dandelion {
+
+using AttemptId = uint64_t;
+
+/// One attempt that has not ended; `link` is empty for the upstream beside this node, and `ticket`
+/// is used only there.
+struct OpenAttempt
+{
+  std::string member;
+  std::optional<LinkId> link;
+  Admission::Ticket ticket = 0;
+  TimePoint sentAt;
+  /// Sent with a maximum queue delay: the upstream's node refuses it if it would wait longer.
+  bool isShortWait = false;
+  /// A retry was taken from the budget for it in advance.
+  bool hasTakenRetry = false;
+};
+
+struct CallInProgress
+{
+  CallerRequest request;
+  Calls::OnAnswer onAnswer;
+  /// The configuration that `route` points into. A call that is refused because its route was
+  /// withdrawn is routed again by the newest one.
+  std::shared_ptr<const RouteTable> routes;
+  ResolvedRoute route;
+  /// The service that the call is sent to, one of the services of its route.
+  std::string service;
+  TimePoint beganAt;
+  /// `attempts` is 0 until the call has a route.
+  CallLimits limits;
+  Attempts attempts;
+  TriedMembers tried;
+  std::map<AttemptId, OpenAttempt> openAttempts;
+  CallReply lastReply;
+  Timer deadlineTimer;
+  Timer catchUpTimer;
+  Timer hedgeTimer;
+};
+
+} // namespace dandelion
+
+#endif
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -1,5 +1,7 @@
 #include "dandeliond/CallsService.h"
 
+#include "dandeliond/CallMessages.h"
+
 #include <algorithm>
 
 namespace dandelion {
@@ -11,33 +13,6 @@
 constexpr Duration kCatchUpCheckPeriod = milliseconds(20);
 constexpr int kMaxCatchUpChecks = 25;
 
-/// Retry-After of a refusal: this minimum plus a random share of the shortest expected wait.
-constexpr Duration kMinRetryAfter = milliseconds(100);
-constexpr double kMinWaitShare = 0.5;
-constexpr double kMaxWaitShare = 1.5;
-
-/// Maps random bits to a number in [0, 1). Uses 53 bits, as many as a double represents exactly.
-double ToUnitInterval(uint64_t aBits)
-{
-  constexpr double kScale = 1.0 / 9007199254740992.0;
-  constexpr int kUnusedBits = 11;
-  return static_cast<double>(aBits >> kUnusedBits) * kScale;
-}
-
-CallerAnswer MakeRefusal(ErrorKind aKind, const std::string& aReason)
-{
-  CallerAnswer answer;
-  answer.outcome = CallOutcome::NotRun;
-  answer.error = aKind;
-  answer.reason = aReason;
-  return answer;
-}
-
-bool IsIdempotent(const CallerRequest& aRequest, const PolicySpec& aPolicy)
-{
-  return !aPolicy.atMostOnce && (aPolicy.idempotent || IsIdempotentMethod(aRequest.method));
-}
-
 RetryLimits RetryLimitsOf(const RetrySettings& aSettings)
 {
   return RetryLimits{ aSettings.ratio, aSettings.burst };
@@ -84,26 +59,26 @@
 {
   CallId id = nextCall_++;
   TimePoint now = context_.loop.Now();
-  Call call{ std::move(aRequest),
-             std::move(aDone),
-             nullptr,
-             {},
-             {},
-             now,
-             {},
-             Attempts(false, 1, now),
-             {},
-             {},
-             {},
-             {},
-             {},
-             {} };
+  CallInProgress call{ std::move(aRequest),
+                       std::move(aDone),
+                       nullptr,
+                       {},
+                       {},
+                       now,
+                       {},
+                       Attempts(false, 1, now),
+                       {},
+                       {},
+                       {},
+                       {},
+                       {},
+                       {} };
   CallerAnswer refusal;
   bool isResolved = Resolve(call, refusal);
   // A newer version that this node knows of and has not applied yet may have the route.
   bool mayBeInNewerVersion = refusal.error == ErrorKind::NoRoute && spreading_->IsBehind();
   if (!isResolved && !mayBeInNewerVersion) {
-    LogAnswer(call, refusal);
+    LogAnswer(call, refusal, releases_->Current()->version, context_.loop.Now());
     call.onAnswer(refusal);
     return id;
   }
@@ -118,7 +93,7 @@
 
 void CallsService::Start(CallId aId)
 {
-  Call& call = calls_.at(aId);
+  CallInProgress& call = calls_.at(aId);
   TimePoint now = context_.loop.Now();
   const PolicySpec& policy = *call.route.policy;
   call.limits = LimitsFor(policy, call.request.limits, call.beganAt);
@@ -135,7 +110,7 @@
   SendNext(aId);
 }
 
-bool CallsService::Resolve(Call& aCall, CallerAnswer& aRefusal)
+bool CallsService::Resolve(CallInProgress& aCall, CallerAnswer& aRefusal)
 {
   if (!membership_->IsReady()) {
     // The texts of refusals are sent to callers.
@@ -171,7 +146,7 @@
   return true;
 }
 
-ChoiceQuery CallsService::QueryFor(const Call& aCall) const
+ChoiceQuery CallsService::QueryFor(const CallInProgress& aCall) const
 {
   const PolicySpec& policy = *aCall.route.policy;
   const ServiceSpec& service = aCall.routes->SourceConfiguration().services.at(aCall.service).spec;
@@ -186,7 +161,7 @@
   return query;
 }
 
-const Member* CallsService::ChooseFor(const Call& aCall)
+const Member* CallsService::ChooseFor(const CallInProgress& aCall)
 {
   return choice_.Choose(
     membership_->Table(), membership_->Self(), QueryFor(aCall), context_.loop.Now());
@@ -194,7 +169,7 @@
 
 void CallsService::SendNext(CallId aId)
 {
-  Call& call = calls_.at(aId);
+  CallInProgress& call = calls_.at(aId);
   call.tried.BeginSend();
   const Member* member = ChooseFor(call);
   if (member == nullptr && call.tried.EndShortWait()) {
@@ -215,14 +190,14 @@
 
 void CallsService::SendAttempt(CallId aId, const Member& aMember, bool aHasTakenRetry)
 {
-  Call& call = calls_.at(aId);
+  CallInProgress& call = calls_.at(aId);
   AttemptId id = nextAttempt_++;
   metrics_->Count(CounterName::Attempts, ClassLabel(call.limits.trafficClass));
-  Attempt& attempt = call.openAttempts[id];
+  OpenAttempt& attempt = call.openAttempts[id];
   attempt.member = aMember.id;
   attempt.sentAt = context_.loop.Now();
   attempt.hasTakenRetry = aHasTakenRetry;
-  OpenCall openCall = MakeOpenCall(call, id);
+  OpenCall openCall = MakeOpenCall(call, id, context_.settings.service, attempt.sentAt);
   attempt.isShortWait = openCall.maxQueueDelayMs.has_value();
   call.tried.OnSent(aMember.id);
   callByAttempt_[id] = aId;
@@ -252,41 +227,9 @@
   }
 }
 
-OpenCall CallsService::MakeOpenCall(const Call& aCall, AttemptId aAttempt) const
-{
-  OpenCall openCall;
-  openCall.id = aAttempt;
-  openCall.version = aCall.routes->SourceConfiguration().version;
-  openCall.route = aCall.route.route->name;
-  openCall.service = aCall.service;
-  openCall.trafficClass = aCall.limits.trafficClass;
-  openCall.deadlineMs =
-    std::max<int64_t>(1, ToMilliseconds(aCall.limits.deadline - context_.loop.Now()));
-  openCall.retriesLeft = aCall.attempts.RetriesLeft();
-  openCall.method = aCall.request.method;
-  openCall.target = aCall.request.target;
-  openCall.headers = aCall.request.headers;
-  openCall.body.data = aCall.request.body;
-  const PolicySpec& policy = *aCall.route.policy;
-  openCall.policy = policy.name;
-  if (policy.targetMs > 0) {
-    Duration left = aCall.beganAt + milliseconds(policy.targetMs) - context_.loop.Now();
-    openCall.targetMs = std::max<int64_t>(1, ToMilliseconds(left));
-    std::optional<Duration> maxQueueDelay = aCall.tried.MaxQueueDelay(left);
-    if (maxQueueDelay.has_value()) {
-      openCall.maxQueueDelayMs = ToMilliseconds(*maxQueueDelay);
-    }
-  }
-  openCall.priority = policy.priority;
-  openCall.isIdempotent = IsIdempotent(aCall.request, policy);
-  openCall.callerService = context_.settings.service;
-  openCall.requestId = aCall.request.id;
-  return openCall;
-}
-
 void CallsService::ScheduleHedge(CallId aId)
 {
-  Call& call = calls_.at(aId);
+  CallInProgress& call = calls_.at(aId);
   const PolicySpec& policy = *call.route.policy;
   std::optional<Duration> delay =
     hedging_.DelayFor(call.service, call.limits.trafficClass, IsIdempotent(call.request, policy));
@@ -297,7 +240,7 @@
 
 void CallsService::Hedge(CallId aId)
 {
-  Call& call = calls_.at(aId);
+  CallInProgress& call = calls_.at(aId);
   // Only a call whose first attempt is still its only one is hedged: a retry already is a second
   // attempt.
   bool isFirst = call.openAttempts.size() == 1 && call.tried.Sends() == 1;
@@ -359,7 +302,7 @@
   }
   CallId id = found->second;
   callByAttempt_.erase(found);
-  Call& call = calls_.at(id);
+  CallInProgress& call = calls_.at(id);
   EndAttempt(call, aAttempt, aReply);
   constexpr int64_t kFirstServerError = 500;
   FinishedAttempt end{ aReply.outcome, aReply.isRetried };
@@ -383,31 +326,12 @@
   }
 }
 
-void CallsService::EndAttempt(Call& aCall, AttemptId aAttempt, const CallReply& aReply)
+void CallsService::EndAttempt(CallInProgress& aCall, AttemptId aAttempt, const CallReply& aReply)
 {
   auto found = aCall.openAttempts.find(aAttempt);
   TimePoint now = context_.loop.Now();
-  AttemptResult result;
-  result.latency = now - found->second.sentAt;
-  bool isRefusedByUpstream = aReply.outcome == CallOutcome::NotRun && aReply.hasReachedUpstream;
-  result.hasFailed = aReply.outcome == CallOutcome::Unknown || isRefusedByUpstream ||
-                     aReply.error == ErrorKind::Unreachable ||
-                     aReply.error == ErrorKind::NotReady || aReply.error == ErrorKind::Leaving;
-  result.queueLength = aReply.queueLength;
-  result.costClass = aCall.route.policy->name;
-  result.answerBytes = aReply.body.data.size();
-  if (aReply.elapsedUs > 0) {
-    result.networkRoundTrip =
-      std::max(Duration::zero(), result.latency - Duration(aReply.elapsedUs));
-  }
-  if (aReply.slots > 0) {
-    result.queueEstimate = QueueEstimate{ aReply.queueLength,
-                                          aReply.slots,
-                                          aReply.freeSlots,
-                                          Duration(aReply.queueDelayUs),
-                                          Duration(aReply.serviceTimeUs),
-                                          Duration(aReply.linkDelayUs) };
-  }
+  AttemptResult result =
+    ToAttemptResult(aReply, aCall.route.policy->name, now - found->second.sentAt);
   choice_.OnAttemptEnded(found->second.member, result, now);
   if (found->second.hasTakenRetry && aReply.outcome == CallOutcome::NotRun &&
       !aReply.hasReachedUpstream) {
@@ -430,7 +354,7 @@
   if (found == calls_.end()) {
     return;
   }
-  Call& call = found->second;
+  CallInProgress& call = found->second;
   if (spreading_->IsBehind() && aChecksLeft > 0) {
     auto checkAgain = [this, aId, aChecksLeft] { Reroute(aId, aChecksLeft - 1); };
     call.catchUpTimer = context_.loop.After(kCatchUpCheckPeriod, checkAgain);
@@ -448,17 +372,12 @@
 
 void CallsService::OnDeadline(CallId aId)
 {
-  Call& call = calls_.at(aId);
+  CallInProgress& call = calls_.at(aId);
   if (call.lastReply.outcome == CallOutcome::Ran) {
     Answer(aId, AnswerFromReply(call, call.lastReply));
     return;
   }
-  bool mayRun = !call.openAttempts.empty() || call.attempts.Combined() != CallOutcome::NotRun;
-  CallerAnswer answer;
-  answer.outcome = mayRun ? CallOutcome::Unknown : CallOutcome::NotRun;
-  answer.error = ErrorKind::DeadlineExceeded;
-  answer.reason = "the policy's time limit has passed";
-  Answer(aId, answer);
+  Answer(aId, DeadlineAnswer(call));
 }
 
 void CallsService::Cancel(CallId aId)
@@ -516,7 +435,7 @@
   }
 }
 
-void CallsService::CancelAttempts(Call& aCall)
+void CallsService::CancelAttempts(CallInProgress& aCall)
 {
   TimePoint now = context_.loop.Now();
   for (const auto& [id, attempt] : std::exchange(aCall.openAttempts, {})) {
@@ -537,14 +456,16 @@
 void CallsService::Answer(CallId aId, CallerAnswer aAnswer)
 {
   auto found = calls_.find(aId);
-  Call call = std::move(found->second);
+  CallInProgress call = std::move(found->second);
   calls_.erase(found);
   CancelAttempts(call);
   bool isShed = aAnswer.outcome == CallOutcome::NotRun && call.route.policy != nullptr;
   if (isShed) {
-    aAnswer.retryAfter = SuggestRetryAfter(call);
+    Duration wait =
+      choice_.ShortestQueueDelay(membership_->Table(), QueryFor(call), context_.loop.Now());
+    aAnswer.retryAfter = RetryAfter(wait, random_());
   }
-  LogAnswer(call, aAnswer);
+  LogAnswer(call, aAnswer, releases_->Current()->version, context_.loop.Now());
   Duration latency = context_.loop.Now() - call.beganAt;
   MetricLabel label = ClassLabel(call.limits.trafficClass);
   metrics_->Observe(HistogramName::CallTime, label, latency);
@@ -556,53 +477,6 @@
   call.onAnswer(aAnswer);
 }
 
-CallerAnswer CallsService::AnswerFromReply(const Call& aCall, const CallReply& aReply) const
-{
-  CallerAnswer answer;
-  answer.outcome = aCall.attempts.Combined();
-  answer.isRetried = aCall.attempts.IsRetried();
-  answer.status = aReply.status;
-  answer.headers = aReply.headers;
-  answer.body = aReply.body.data;
-  if (answer.outcome == CallOutcome::Ran) {
-    return answer;
-  }
-  answer.error = answer.outcome == CallOutcome::Unknown
-                   ? ErrorKind::OutcomeUnknown
-                   : aReply.error.value_or(ErrorKind::NoUpstream);
-  answer.reason = fmt::format("service \"{}\": {}", aCall.service, NameOf(*answer.error));
-  return answer;
-}
-
-Duration CallsService::SuggestRetryAfter(const Call& aCall)
-{
-  Duration wait =
-    choice_.ShortestQueueDelay(membership_->Table(), QueryFor(aCall), context_.loop.Now());
-  // The range is as wide as the wait, so that callers refused together do not retry together.
-  double share = kMinWaitShare + (kMaxWaitShare - kMinWaitShare) * ToUnitInterval(random_());
-  return kMinRetryAfter + Duration(static_cast<int64_t>(share * static_cast<double>(wait.count())));
-}
-
-void CallsService::LogAnswer(const Call& aCall, const CallerAnswer& aAnswer) const
-{
-  bool hasRunWithoutRetry = aAnswer.outcome == CallOutcome::Ran && !aAnswer.isRetried;
-  if (hasRunWithoutRetry) {
-    return;
-  }
-  bool isRouted = aCall.route.route != nullptr;
-  LogRequest(LogPart::Calls,
-             LogLevel::Info,
-             aCall.request.id,
-             "Answered {} after {} ms and {} asks: {}. Route {} of version {}, service {}.",
-             NameOf(aAnswer.outcome),
-             ToMilliseconds(context_.loop.Now() - aCall.beganAt),
-             aCall.tried.Sends(),
-             aAnswer.error.has_value() ? NameOf(*aAnswer.error) : "repeated",
-             isRouted ? aCall.route.route->name : "-",
-             isRouted ? aCall.routes->SourceConfiguration().version : releases_->Current()->version,
-             aCall.service.empty() ? "-" : aCall.service);
-}
-
 Lane CallsService::LaneFor(TrafficClass aClass) const
 {
   bool usesBulkLane = aClass == TrafficClass::Bulk || aClass == TrafficClass::Background;
