Split pending updates and times of states from FailureDetector

Which records a probe carries (PendingUpdates), since when a member is not alive (StateTimes) and which records differ between two tables (MemberTable::RecordsFor) are decisions of their own. No change of behaviour: same order, same random numbers; the properties of failure_detector and member_table pass unchanged.

--- a/src/membership/FailureDetector.cpp
+++ b/src/membership/FailureDetector.cpp
@@ -1,15 +1,11 @@
 #include "membership/FailureDetector.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace dandelion {
 
 namespace {
 
-constexpr size_t kMaxUpdatesPerMessage = 6;
-/// A record is sent this many times for each doubling of the number of members.
-constexpr int kUpdateSendsPerDoubling = 3;
 constexpr size_t kIndirectProbes = 3;
 /// Number of zone members that receive urgent records immediately, before the next probe.
 constexpr size_t kImmediateFanout = 8;
@@ -38,7 +34,7 @@
   , nextCompare_(aNow)
 {
   table_.Merge(aSelf);
-  QueueUpdate(aSelf);
+  pendingUpdates_.Add(aSelf, table_.All().size());
 }
 
 FailureDetectorEffects FailureDetector::Tick(TimePoint aNow)
@@ -48,9 +44,7 @@
     // Answers may have arrived and been lost while this process was paused, so the pending probes
     // are no evidence that their targets failed.
     probes_.clear();
-    for (auto& [id, since] : stateSince_) {
-      since = aNow;
-    }
+    stateTimes_.Restart(aNow);
   }
   lastTick_ = aNow;
   CheckProbes(effects, aNow);
@@ -112,7 +106,7 @@
   self.state = aState;
   table_.Merge(self);
   effects.push_back(MembersChanged{});
-  QueueUpdate(self);
+  pendingUpdates_.Add(self, table_.All().size());
   NotifyZone(effects, aNow);
   NotifyOtherZones(effects, aNow);
   return effects;
@@ -157,7 +151,7 @@
   // Records of one incarnation may differ only in their state, so this change needs a new one.
   ++aSelf.incarnation;
   table_.Merge(aSelf);
-  QueueUpdate(aSelf);
+  pendingUpdates_.Add(aSelf, table_.All().size());
   effects.push_back(MembersChanged{});
   NotifyZone(effects, aNow);
   NotifyOtherZones(effects, aNow);
@@ -189,21 +183,6 @@
   table_.RaiseVersion(selfId_, aVersion);
 }
 
-std::vector<Member> FailureDetector::RecordsFor(const ZoneDigests& aTheirs) const
-{
-  std::vector<Member> records;
-  for (const auto& [id, member] : table_.All()) {
-    auto ours = table_.Digests().find(member.zone);
-    auto theirs = aTheirs.find(member.zone);
-    bool differs =
-      theirs == aTheirs.end() || ours == table_.Digests().end() || theirs->second != ours->second;
-    if (differs) {
-      records.push_back(member);
-    }
-  }
-  return records;
-}
-
 bool FailureDetector::IsFenced(TimePoint aNow) const
 {
   bool isAlone = table_.All().size() == 1;
@@ -217,8 +196,8 @@
     if (member.zone != Self().zone || member.state != MemberState::Gone) {
       continue;
     }
-    auto since = stateSince_.find(id);
-    if (since != stateSince_.end() && aNow - since->second < kGoneGracePeriod) {
+    std::optional<TimePoint> since = stateTimes_.Since(id);
+    if (since.has_value() && aNow - *since < kGoneGracePeriod) {
       counted.push_back(&member);
     }
   }
@@ -236,8 +215,8 @@
   if (!table_.Merge(aRecord)) {
     return;
   }
-  RecordStateTime(aRecord, aNow);
-  QueueUpdate(aRecord);
+  stateTimes_.OnRecord(aRecord, aNow);
+  pendingUpdates_.Add(aRecord, table_.All().size());
   if (aRecord.zone == Self().zone) {
     hasUpdatesForOtherZones_ = true;
   }
@@ -256,17 +235,10 @@
   }
   self.incarnation = aRecord.incarnation + 1;
   table_.Merge(self);
-  QueueUpdate(self);
+  pendingUpdates_.Add(self, table_.All().size());
   hasUpdatesForOtherZones_ = true;
 }
 
-void FailureDetector::QueueUpdate(const Member& aRecord)
-{
-  double members = static_cast<double>(table_.All().size()) + 1;
-  int sends = kUpdateSendsPerDoubling * static_cast<int>(std::ceil(std::log2(members + 1)));
-  pendingUpdates_[aRecord.id] = PendingUpdate{ aRecord, sends };
-}
-
 Gossip FailureDetector::MakeGossip(const std::string& aFirstId)
 {
   Gossip gossip;
@@ -277,25 +249,7 @@
   if (first != nullptr) {
     gossip.updates.push_back(*first);
   }
-  // The records with the most sends left come first, so that old records do not delay new ones.
-  std::vector<PendingUpdate*> pending;
-  for (auto& [id, update] : pendingUpdates_) {
-    pending.push_back(&update);
-  }
-  auto hasMoreLeft = [](const PendingUpdate* aA, const PendingUpdate* aB) {
-    return aA->sendsLeft > aB->sendsLeft;
-  };
-  std::stable_sort(pending.begin(), pending.end(), hasMoreLeft);
-  for (PendingUpdate* update : pending) {
-    if (gossip.updates.size() >= kMaxUpdatesPerMessage) {
-      break;
-    }
-    gossip.updates.push_back(update->record);
-    --update->sendsLeft;
-  }
-  for (auto row = pendingUpdates_.begin(); row != pendingUpdates_.end();) {
-    row = row->second.sendsLeft <= 0 ? pendingUpdates_.erase(row) : std::next(row);
-  }
+  pendingUpdates_.TakeInto(gossip.updates);
   return gossip;
 }
 
@@ -498,22 +452,8 @@
 
 void FailureDetector::ExpireMembers(FailureDetectorEffects& aEffects, TimePoint aNow)
 {
-  std::vector<Member> expired;
-  std::vector<std::string> forgotten;
-  for (const auto& [id, since] : stateSince_) {
-    const Member* member = table_.Find(id);
-    if (member == nullptr) {
-      continue;
-    }
-    bool isOwnZone = member->zone == Self().zone;
-    bool isPending = member->state == MemberState::Suspect || member->state == MemberState::Leaving;
-    if (isPending && isOwnZone && aNow - since >= kSuspicionTimeout) {
-      expired.push_back(*member);
-    }
-    if (member->state == MemberState::Gone && aNow - since >= kGoneRetention) {
-      forgotten.push_back(id);
-    }
-  }
+  std::vector<Member> expired = stateTimes_.Overdue(table_, Self().zone, aNow);
+  std::vector<std::string> forgotten = stateTimes_.Forgotten(table_, aNow);
   for (Member& record : expired) {
     // A leaving member that still answers is finishing its work. It is marked gone when it no
     // longer answers.
@@ -528,7 +468,7 @@
   }
   for (const std::string& id : forgotten) {
     table_.Erase(id);
-    stateSince_.erase(id);
+    stateTimes_.Erase(id);
   }
 }
 
@@ -550,13 +490,4 @@
   return std::any_of(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(relays), isSelf);
 }
 
-void FailureDetector::RecordStateTime(const Member& aRecord, TimePoint aNow)
-{
-  if (aRecord.state == MemberState::Alive) {
-    stateSince_.erase(aRecord.id);
-  } else {
-    stateSince_[aRecord.id] = aNow;
-  }
-}
-
 } // namespace dandelion
--- a/src/membership/FailureDetector.h
+++ b/src/membership/FailureDetector.h
@@ -8,7 +8,9 @@
 #define DANDELION_MEMBERSHIP_FAILURE_DETECTOR_H
 
 #include "membership/MemberTable.h"
+#include "membership/PendingUpdates.h"
 #include "membership/ProbeMessages.h"
+#include "membership/StateTimes.h"
 
 #include <map>
 #include <optional>
@@ -20,14 +22,11 @@
 
 constexpr Duration kProbePeriod = seconds(1);
 constexpr Duration kProbeTimeout = milliseconds(300);
-constexpr Duration kSuspicionTimeout = seconds(4);
 /// A node without an answer from a member or the store for this long accepts no new work.
 constexpr Duration kFenceTimeout = seconds(4);
 /// A member that was marked gone counts in rollouts for this long. It may still run and accept work
 /// while it reaches no other member, but fences itself within this time.
 constexpr Duration kGoneGracePeriod = kFenceTimeout;
-/// A member that is gone is erased from the table after this time.
-constexpr Duration kGoneRetention = seconds(600);
 
 struct SendProbe
 {
@@ -92,7 +91,10 @@
   const Member& Self() const { return *table_.Find(selfId_); }
   const MemberTable& Table() const { return table_; }
   /// Returns the records of the zones in which a peer's digests differ from the local ones.
-  std::vector<Member> RecordsFor(const ZoneDigests& aTheirs) const;
+  std::vector<Member> RecordsFor(const ZoneDigests& aTheirs) const
+  {
+    return table_.RecordsFor(aTheirs);
+  }
 
   /// Whether the node has been cut off for so long that others may have marked it gone, so that it
   /// must not accept new work. Uses the send times of answered requests, so a process that was
@@ -120,15 +122,9 @@
     uint64_t requesterSequence;
     TimePoint sentAt;
   };
-  struct PendingUpdate
-  {
-    Member record;
-    int sendsLeft;
-  };
 
   void MergeRecord(FailureDetectorEffects& aEffects, const Member& aRecord, TimePoint aNow);
   void Refute(const Member& aRecord);
-  void QueueUpdate(const Member& aRecord);
   Gossip MakeGossip(const std::string& aFirstId = "");
   void OnGossip(FailureDetectorEffects& aEffects,
                 const Endpoint& aFrom,
@@ -162,7 +158,6 @@
   {
     return EndpointFrom(Self().region, aMember);
   }
-  void RecordStateTime(const Member& aRecord, TimePoint aNow);
 
   std::string selfId_;
   MemberTable table_;
@@ -170,9 +165,8 @@
   uint64_t nextSequence_;
   std::map<uint64_t, Probe> probes_;
   std::map<uint64_t, ForwardedProbe> forwardedProbes_;
-  std::map<std::string, PendingUpdate> pendingUpdates_;
-  /// When each member that is not alive was first seen in its state.
-  std::map<std::string, TimePoint> stateSince_;
+  PendingUpdates pendingUpdates_;
+  StateTimes stateTimes_;
   std::vector<std::string> probeOrder_;
   size_t nextZone_ = 0;
   TimePoint lastTick_;
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -173,4 +173,19 @@
   }
 }
 
+std::vector<Member> MemberTable::RecordsFor(const ZoneDigests& aTheirs) const
+{
+  std::vector<Member> records;
+  for (const auto& [id, member] : members_) {
+    auto ours = digests_.find(member.zone);
+    auto theirs = aTheirs.find(member.zone);
+    bool differs =
+      theirs == aTheirs.end() || ours == digests_.end() || theirs->second != ours->second;
+    if (differs) {
+      records.push_back(member);
+    }
+  }
+  return records;
+}
+
 } // namespace dandelion
--- a/src/membership/MemberTable.h
+++ b/src/membership/MemberTable.h
@@ -49,6 +49,8 @@
   std::vector<const Member*> RankedInRegion(const std::string& aRegion) const;
 
   const ZoneDigests& Digests() const { return digests_; }
+  /// Returns the records of the zones in which other digests differ from these.
+  std::vector<Member> RecordsFor(const ZoneDigests& aTheirs) const;
   /// One hash over all zones.
   uint64_t Digest() const;
 
