--- a/review/rig/Rig.h
+++ b/review/rig/Rig.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -895,22 +896,25 @@
 
 // --- Nodes ---
 
+/// A free port for TCP and UDP, below the range that the kernel gives to outgoing connections.
 inline int FreePort()
 {
   static std::set<int> given;
+  static std::mt19937 random{ std::random_device{}() };
+  constexpr int kFirst = 10000;
+  constexpr int kCount = 20000;
   while (true) {
+    int port = kFirst + static_cast<int>(random() % kCount);
     int tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
     bool isFree = bind(tcp, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-    getsockname(tcp, reinterpret_cast<sockaddr*>(&address), &length);
     isFree = isFree && bind(udp, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
     close(tcp);
     close(udp);
-    int port = ntohs(address.sin_port);
     if (isFree && given.insert(port).second) {
       return port;
     }
