--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
+rm -f target/review/case-*
 for source in review/[0-9]*/Case.cpp; do
   number=$(basename "$(dirname "$source")")
   g++ -std=c++17 -O1 -Wall -Wextra -pthread -I review/rig "$source" -o "target/review/case-$number" &
