--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -12,6 +12,8 @@
 constexpr int kWorkMs = 4000;
 /// `stable-window`, and a margin.
 constexpr double kStableSeconds = 3.5;
+/// `grace`.
+constexpr double kGraceSeconds = 6;
 /// LOST is broken by more than three closed channels.
 constexpr int kMaxClosed = 3;
 
@@ -40,7 +42,7 @@
   if (isTrouble) {
     // The node is stopped and started on its own. The backend's reports after that are late.
     courses.Signal(SIGTERM);
-    Require(courses.WaitForEnd(6.5), "the node does not stop within its grace");
+    Require(courses.WaitForEnd(kGraceSeconds), "the node does not stop within its grace");
     courses.Forget();
     coursesBackend.HoldReports();
     courses.Start(false);
@@ -83,6 +85,10 @@
   Node::End end = courses.Poll();
   courses.RecordLog(8);
   bool hasCrashed = end.hasEnded && end.isOwnEnd;
+  // The rule holds for machines in touch: the start of the process lies `stable-window` before.
+  double sinceStart = end.at - courses.StartedAt();
+  Require(!hasCrashed || sinceStart > kStableSeconds, "the machine was not in touch yet");
+  Note("the process had run for " + std::to_string(sinceStart) + " s");
   Note(std::string("node-courses ") + (hasCrashed ? "has ended by itself" : "still runs") + "; " +
        std::to_string(closed) + " kept channels with a request at a backend were closed without an " +
        "answer, " + std::to_string(served) + " got a success");
