A call that has been answered is neither refused again nor sent (LOST)

Cause: AdmissionService carries out the effects of its queue one after the other, and the callbacks of one effect can end the call of the next. Refuse and SendToUpstream took for granted that it still exists (pending_.at). The first call that the new configuration withdrew left the queue, the queue then filled the free slots with the other withdrawn calls, these were refused and erased, and the loop came to them again. Answers that make a caller leave, and the closing of the queue, had the same fault.

Change: both look the call up. A call that was cancelled after it was given a slot gives the slot back.

--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -119,7 +119,14 @@
 
 void AdmissionService::SendToUpstream(Ticket aTicket)
 {
-  PendingCall& pending = pending_.at(aTicket);
+  auto found = pending_.find(aTicket);
+  if (found == pending_.end()) {
+    // A callback of an earlier effect has cancelled the call after the queue gave it a slot.
+    constexpr bool kIsServiceTimeSample = false;
+    Execute(queue_.Handle(CallFinished{ aTicket, kIsServiceTimeSample }, context_.loop.Now()));
+    return;
+  }
+  PendingCall& pending = found->second;
   // The configuration may have changed while the call waited for a slot.
   std::optional<ErrorKind> refusalReason = FindRefusalReason(pending.call);
   if (refusalReason.has_value()) {
@@ -180,8 +187,13 @@
 
 void AdmissionService::Refuse(Ticket aTicket, ErrorKind aReason)
 {
+  auto found = pending_.find(aTicket);
+  if (found == pending_.end()) {
+    // A callback of an earlier effect has cancelled the call.
+    return;
+  }
   metrics_->Count(CounterName::CallsShed, fmt::format("reason=\"{}\"", NameOf(aReason)));
-  const OpenCall& call = pending_.at(aTicket).call;
+  const OpenCall& call = found->second.call;
   // The caller's node sends a call whose short wait was refused to another upstream, and logs the
   // number of sends with its answer. Such a refusal is logged here at debug level only.
   bool isSentElsewhere = call.maxQueueDelayMs.has_value() && aReason == ErrorKind::Overloaded;
@@ -337,8 +349,11 @@
     }
   }
   for (const auto& [ticket, refusalReason] : refusals) {
-    Execute(queue_.Handle(CallCancelled{ ticket }, context_.loop.Now()));
-    Refuse(ticket, refusalReason);
+    // An earlier refusal may have freed a slot, and the queue may have given it to this call.
+    if (pending_.count(ticket) > 0) {
+      Execute(queue_.Handle(CallCancelled{ ticket }, context_.loop.Now()));
+      Refuse(ticket, refusalReason);
+    }
   }
 }
 
--- a/test/correctness/AdmissionRefusesUnservableCalls.cpp
+++ b/test/correctness/AdmissionRefusesUnservableCalls.cpp
@@ -8,6 +8,8 @@
 
 #include "dandeliond/AdmissionService.h"
 
+#include <set>
+
 using namespace dandelion;
 using namespace dandelion::testing;
 using trompeloeil::_;
@@ -18,10 +20,11 @@
 class Fixture
 {
 public:
-  Fixture()
+  explicit Fixture(QueueOrderName aQueue = NodeSettings().queue)
     : context{ loop, registry, settings }
   {
     settings.id = "self";
+    settings.queue = aQueue;
     settings.service = "s0";
     AddService<MetricsService>(registry, ServiceName::Metrics);
     links = &AddService<MockLinks>(registry, ServiceName::Links);
@@ -153,3 +156,78 @@
   REQUIRE_CALL(*fixture.upstream, Send(_, _)).WITH(_1.upstreamId == "upstream-1").RETURN(7u);
   fixture.Serve(fixture.MakeCall(1, 1));
 }
+
+// Guards against LOST: a node ended by itself when a configuration withdrew calls that waited for
+// slots which a report had just opened.
+Test(upstreams_node, withdrawal_after_more_slots_are_reported_answers_each_queued_call)
+{
+  constexpr uint64_t kCalls = 6;
+  for (const auto& order : EnumNames<QueueOrderName>::kTable) {
+    Fixture fixture(order.value);
+    std::set<uint64_t> sent;
+    ALLOW_CALL(*fixture.upstream, Send(_, _)).LR_SIDE_EFFECT(sent.insert(_1.id)).RETURN(7u);
+    for (uint64_t id = 1; id <= kCalls; ++id) {
+      fixture.Serve(fixture.MakeCall(id, 1));
+    }
+    fixture.upstreamState->Set(3);
+    fixture.releases->Set(fixture.ConfigurationWithoutRoute());
+    for (uint64_t id = 1; id <= kCalls; ++id) {
+      bool isRefused =
+        fixture.replies.count(id) > 0 && fixture.replies.at(id).outcome == CallOutcome::NotRun;
+      cr_assert(isRefused != (sent.count(id) > 0), "call %d", static_cast<int>(id));
+    }
+  }
+}
+
+// Guards against LOST: a node ended by itself when the refusal of one withdrawn call freed a slot,
+// for which the next withdrawn call was chosen.
+Test(upstreams_node, withdrawal_survives_a_slot_freed_by_the_first_refusal)
+{
+  Fixture fixture(QueueOrderName::ByTarget);
+  REQUIRE_CALL(*fixture.upstream, Send(_, _)).RETURN(7u).TIMES(1);
+  REQUIRE_CALL(*fixture.upstream, Cancel(7u));
+  auto running = fixture.admission->Serve(fixture.MakeCall(1, 1), [](const CallReply&) {});
+  fixture.admission->Serve(fixture.MakeCall(2, 1),
+                           [&](const CallReply&) { fixture.admission->Cancel(running); });
+  fixture.Serve(fixture.MakeCall(3, 1));
+  fixture.Serve(fixture.MakeCall(4, 1));
+  fixture.releases->Set(fixture.ConfigurationWithoutRoute());
+  cr_assert(fixture.replies.at(3).error == ErrorKind::Withdrawn);
+  cr_assert(fixture.replies.at(4).error == ErrorKind::Withdrawn);
+}
+
+// Guards against LOST: a node ended by itself when the answer of one call made its caller leave,
+// and with it the call that had been chosen for the freed slot.
+Test(upstreams_node, call_cancelled_while_an_answer_is_delivered_gives_its_slot_back)
+{
+  for (const auto& order : EnumNames<QueueOrderName>::kTable) {
+    Fixture fixture(order.value);
+    std::map<uint64_t, Upstream::OnResult> sent;
+    ALLOW_CALL(*fixture.upstream, Send(_, _)).LR_SIDE_EFFECT(sent[_1.id] = _2).RETURN(7u);
+    Admission::Ticket second = 0;
+    fixture.admission->Serve(fixture.MakeCall(1, 1),
+                             [&](const CallReply&) { fixture.admission->Cancel(second); });
+    second = fixture.admission->Serve(fixture.MakeCall(2, 1), [](const CallReply&) {});
+    fixture.Serve(fixture.MakeCall(3, 1));
+    sent.at(1)(UpstreamResult{ CallOutcome::Ran, false, 200, {}, "" });
+    cr_assert_eq(sent.count(2), 0u);
+    cr_assert_eq(sent.count(3), 1u);
+  }
+}
+
+// Guards against LOST: the same where a whole queue is refused, as at a planned stop.
+Test(upstreams_node, call_cancelled_while_the_queue_is_closed_is_not_refused_again)
+{
+  for (const auto& order : EnumNames<QueueOrderName>::kTable) {
+    Fixture fixture(order.value);
+    REQUIRE_CALL(*fixture.upstream, Send(_, _)).RETURN(7u).TIMES(1);
+    fixture.Serve(fixture.MakeCall(1, 1));
+    Admission::Ticket third = 0;
+    fixture.admission->Serve(fixture.MakeCall(2, 1),
+                             [&](const CallReply&) { fixture.admission->Cancel(third); });
+    third = fixture.admission->Serve(fixture.MakeCall(3, 1), [](const CallReply&) {});
+    fixture.Serve(fixture.MakeCall(4, 1));
+    fixture.upstreamState->Set(0);
+    cr_assert(fixture.replies.at(4).error == ErrorKind::Leaving);
+  }
+}
