Raised slots start the calls that wait for them

Callers saw: calls waited, and were refused at their target, beside slots of the upstream that were free: after a node or an upstream restarts, its first report opens the slots, but nothing started the waiting calls until another call arrived or ended.

Cause: SetSlots of both queues only stored the figure. Change: SetSlots returns the effects of filling the slots, which the service carries out.

Test: upstreams_node/slots_raised_by_a_report_start_waiting_calls, for each queue order; before the change the upstream had got 1 call instead of 3.

--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -35,9 +35,9 @@
   std::visit([](auto& aQueue) { aQueue.Open(); }, queue_);
 }
 
-void AdmissionQueue::SetSlots(int64_t aSlots)
+AdmissionEffects AdmissionQueue::SetSlots(int64_t aSlots, TimePoint aNow)
 {
-  std::visit([&](auto& aQueue) { aQueue.SetSlots(aSlots); }, queue_);
+  return std::visit([&](auto& aQueue) { return aQueue.SetSlots(aSlots, aNow); }, queue_);
 }
 
 int64_t AdmissionQueue::Running() const
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -16,7 +16,8 @@
   AdmissionEffects RefuseExpired(TimePoint aNow);
   AdmissionEffects Close();
   void Open();
-  void SetSlots(int64_t aSlots);
+  /// Starts waiting calls in the slots that are added.
+  AdmissionEffects SetSlots(int64_t aSlots, TimePoint aNow);
   int64_t Running() const;
   int64_t Waiting() const;
   QueueEstimate EstimateFor(TrafficClass aClass, const CostClass& aCostClass, TimePoint aNow) const;
--- a/src/admission/SlotQueue.cpp
+++ b/src/admission/SlotQueue.cpp
@@ -95,6 +95,14 @@
   return effects;
 }
 
+AdmissionEffects SlotQueue::SetSlots(int64_t aSlots, TimePoint aNow)
+{
+  slots_ = aSlots;
+  AdmissionEffects effects;
+  FillSlots(effects, aNow);
+  return effects;
+}
+
 QueueEstimate SlotQueue::EstimateFor(TrafficClass aClass) const
 {
   QueueEstimate estimate;
--- a/src/admission/SlotQueue.h
+++ b/src/admission/SlotQueue.h
@@ -60,7 +60,8 @@
   /// Accepts calls again after `Close`.
   void Open() { isClosed_ = false; }
 
-  void SetSlots(int64_t aSlots) { slots_ = aSlots; }
+  /// Starts waiting calls in the slots that are added.
+  AdmissionEffects SetSlots(int64_t aSlots, TimePoint aNow);
   int64_t Slots() const { return slots_; }
   /// Expected delays of a call of this class that arrives now.
   QueueEstimate EstimateFor(TrafficClass aClass) const;
--- a/src/admission/TargetQueue.cpp
+++ b/src/admission/TargetQueue.cpp
@@ -143,6 +143,14 @@
   return effects;
 }
 
+AdmissionEffects TargetQueue::SetSlots(int64_t aSlots, TimePoint aNow)
+{
+  slots_ = aSlots;
+  AdmissionEffects effects;
+  FillSlots(effects, aNow);
+  return effects;
+}
+
 QueueEstimate TargetQueue::EstimateFor(const CostClass& aCostClass, TimePoint aNow) const
 {
   QueueEstimate estimate;
--- a/src/admission/TargetQueue.h
+++ b/src/admission/TargetQueue.h
@@ -35,7 +35,8 @@
   /// Accepts calls again after `Close`.
   void Open() { isClosed_ = false; }
 
-  void SetSlots(int64_t aSlots) { slots_ = aSlots; }
+  /// Starts waiting calls in the slots that are added.
+  AdmissionEffects SetSlots(int64_t aSlots, TimePoint aNow);
   int64_t Slots() const { return slots_; }
   int64_t Running() const { return static_cast<int64_t>(running_.size()); }
   int64_t Waiting() const { return static_cast<int64_t>(waiting_.size()); }
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -332,8 +332,8 @@
     Execute(queue_.Close());
     return;
   }
-  queue_.SetSlots(slots);
   queue_.Open();
+  Execute(queue_.SetSlots(slots, context_.loop.Now()));
 }
 
 void AdmissionService::RefuseWithdrawn()
--- a/test/correctness/AdmissionRefusesUnservableCalls.cpp
+++ b/test/correctness/AdmissionRefusesUnservableCalls.cpp
@@ -231,3 +231,20 @@
     cr_assert(fixture.replies.at(4).error == ErrorKind::Leaving);
   }
 }
+
+// Guards against calls that wait beside free slots: raised slots stayed empty until the next call
+// arrived or ended.
+Test(upstreams_node, slots_raised_by_a_report_start_waiting_calls)
+{
+  for (const auto& order : EnumNames<QueueOrderName>::kTable) {
+    Fixture fixture(order.value);
+    std::set<uint64_t> sent;
+    ALLOW_CALL(*fixture.upstream, Send(_, _)).LR_SIDE_EFFECT(sent.insert(_1.id)).RETURN(7u);
+    for (uint64_t id = 1; id <= 4; ++id) {
+      fixture.Serve(fixture.MakeCall(id, 1));
+    }
+    cr_assert_eq(sent.size(), 1u);
+    fixture.upstreamState->Set(3);
+    cr_assert_eq(sent.size(), 3u);
+  }
+}
