A configuration that the store has accepted is applied whatever its size (CONFIG)

Cause: the configuration was judged by the limits of release notes. The store's routes carry their timeout themselves; the adapter makes a policy for each combination, and more than 512 policies made the whole configuration invalid on every node. The limits for services (1,024), routes (8,192), names (63 bytes, also in the settings and in status reports), prefixes (512 bytes), times (one hour) and weights had the same effect.

Change: the numbers of objects are checked before a note is accepted, and not again in a configuration that has been accepted elsewhere. The adapter takes names of any length, cuts times to an hour and scales weights. The document's size (4 MiB) still bounds memory. Names in settings may have 255 bytes.

--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -82,6 +82,10 @@
   std::vector<std::string> operators;
 };
 
+/// Limit of the names that the environment gives to a node and its upstream. They may be longer
+/// than the names in release notes.
+constexpr size_t kMaxIdentityBytes = 255;
+
 struct NodeSettings
 {
   /// Name of the slot, which stays the same when the instance is replaced.
@@ -160,10 +164,10 @@
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, NodeSettings& aSettings)
 {
-  aVisitor.Field("id", aSettings.id, MaxTextBytes{ kMaxNameBytes });
-  aVisitor.Field("region", aSettings.region, MaxTextBytes{ kMaxNameBytes });
-  aVisitor.Field("zone", aSettings.zone, MaxTextBytes{ kMaxNameBytes });
-  aVisitor.Field("service", aSettings.service, MaxTextBytes{ kMaxNameBytes });
+  aVisitor.Field("id", aSettings.id, MaxTextBytes{ kMaxIdentityBytes });
+  aVisitor.Field("region", aSettings.region, MaxTextBytes{ kMaxIdentityBytes });
+  aVisitor.Field("zone", aSettings.zone, MaxTextBytes{ kMaxIdentityBytes });
+  aVisitor.Field("service", aSettings.service, MaxTextBytes{ kMaxIdentityBytes });
   aVisitor.Field("upstream", aSettings.upstream);
   aVisitor.Field("front", aSettings.front);
   aVisitor.Field("operators", aSettings.operators);
--- a/src/platform/OperatorConfiguration.cpp
+++ b/src/platform/OperatorConfiguration.cpp
@@ -12,6 +12,12 @@
 
 constexpr size_t kMaxConfigurationBytes = 4 * 1024 * 1024;
 
+/// The store has accepted the configuration and fleet-wide agreement depends on it, so its texts
+/// and numbers are limited by its size only.
+constexpr MaxTextBytes kAnyText{ kMaxConfigurationBytes };
+constexpr IntegerRange kAnyPositive{ 1, INT64_MAX };
+constexpr IntegerRange kAnyNonNegative{ 0, INT64_MAX };
+
 /// Whether a route's calls may be retried.
 enum class CallKind
 {
@@ -85,21 +91,21 @@
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, SplitFields& aShare)
 {
-  aVisitor.Field("service", aShare.service, MaxTextBytes{ kMaxNameBytes });
-  aVisitor.Field("weight", aShare.weight, IntegerRange{ 0, kMaxWeight });
+  aVisitor.Field("service", aShare.service, kAnyText);
+  aVisitor.Field("weight", aShare.weight, kAnyNonNegative);
 }
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, RouteFields& aRoute)
 {
-  aVisitor.Field("name", aRoute.name, MaxTextBytes{ kMaxNameBytes });
-  aVisitor.Field("host", aRoute.host, MaxTextBytes{ kMaxPathBytes });
-  aVisitor.Field("path-prefix", aRoute.prefix, MaxTextBytes{ kMaxPathBytes });
+  aVisitor.Field("name", aRoute.name, kAnyText);
+  aVisitor.Field("host", aRoute.host, kAnyText);
+  aVisitor.Field("path-prefix", aRoute.prefix, kAnyText);
   aVisitor.Field("kind", aRoute.kind);
-  aVisitor.Field("timeout", aRoute.timeoutMs, IntegerRange{ 1, kMaxTimeoutMs });
-  aVisitor.OptionalField("target-latency", aRoute.targetMs, IntegerRange{ 0, kMaxTimeoutMs });
-  aVisitor.OptionalField("max-attempts", aRoute.maxAttempts, IntegerRange{ 1, INT64_MAX });
-  aVisitor.OptionalField("priority", aRoute.priority, IntegerRange{ 0, INT64_MAX });
+  aVisitor.Field("timeout", aRoute.timeoutMs, kAnyPositive);
+  aVisitor.OptionalField("target-latency", aRoute.targetMs, kAnyNonNegative);
+  aVisitor.OptionalField("max-attempts", aRoute.maxAttempts, kAnyPositive);
+  aVisitor.OptionalField("priority", aRoute.priority, kAnyNonNegative);
   aVisitor.OptionalField("service", aRoute.service);
   aVisitor.OptionalField("split", aRoute.split);
 }
@@ -107,24 +113,23 @@
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, ServiceFields& aService)
 {
-  aVisitor.Field("name", aService.name, MaxTextBytes{ kMaxNameBytes });
+  aVisitor.Field("name", aService.name, kAnyText);
   aVisitor.OptionalField("health-path", aService.healthPath);
 }
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, LimitFields& aLimits)
 {
-  aVisitor.OptionalField("max-header-bytes", aLimits.headerBytes, IntegerRange{ 1, INT64_MAX });
-  aVisitor.OptionalField("max-body-bytes", aLimits.bodyBytes, IntegerRange{ 0, INT64_MAX });
-  aVisitor.OptionalField(
-    "header-timeout", aLimits.headerTimeoutMs, IntegerRange{ 1, kMaxTimeoutMs });
-  aVisitor.OptionalField("idle-timeout", aLimits.idleTimeoutMs, IntegerRange{ 1, kMaxTimeoutMs });
+  aVisitor.OptionalField("max-header-bytes", aLimits.headerBytes, kAnyPositive);
+  aVisitor.OptionalField("max-body-bytes", aLimits.bodyBytes, kAnyNonNegative);
+  aVisitor.OptionalField("header-timeout", aLimits.headerTimeoutMs, kAnyPositive);
+  aVisitor.OptionalField("idle-timeout", aLimits.idleTimeoutMs, kAnyPositive);
 }
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, ConfigurationFields& aFields)
 {
-  aVisitor.Field("version", aFields.version, IntegerRange{ 1, INT64_MAX });
+  aVisitor.Field("version", aFields.version, kAnyPositive);
   aVisitor.Field("routes", aFields.routes);
   aVisitor.Field("services", aFields.services);
   aVisitor.OptionalField("limits", aFields.limits);
@@ -152,12 +157,12 @@
 {
   PolicySpec policy;
   policy.trafficClass = ClassOf(aRoute);
-  policy.timeoutMs = aRoute.timeoutMs;
+  policy.timeoutMs = std::min(aRoute.timeoutMs, kMaxTimeoutMs);
   policy.attempts = std::min(aRoute.maxAttempts, kMaxAttempts);
   policy.crossRegion = true;
   policy.idempotent = aRoute.kind != CallKind::Unsafe;
   policy.atMostOnce = aRoute.kind == CallKind::Unsafe;
-  policy.targetMs = aRoute.targetMs;
+  policy.targetMs = std::min(aRoute.targetMs, kMaxTimeoutMs);
   policy.priority = std::min(aRoute.priority, kLowestPriority);
   policy.name = fmt::format("{}-{}-{}-{}-{}",
                             NameOf(aRoute.kind),
@@ -168,6 +173,23 @@
   return policy;
 }
 
+/// Returns the shares with weights of at most `kMaxWeight`, in about the same proportions. A share
+/// that has a weight keeps one.
+std::vector<WeightedService> ToSplit(const std::vector<SplitFields>& aShares)
+{
+  int64_t highest = 0;
+  for (const SplitFields& share : aShares) {
+    highest = std::max(highest, share.weight);
+  }
+  int64_t divisor = std::max<int64_t>(1, highest / kMaxWeight + (highest % kMaxWeight > 0 ? 1 : 0));
+  std::vector<WeightedService> split;
+  for (const SplitFields& share : aShares) {
+    int64_t weight = share.weight == 0 ? 0 : std::max<int64_t>(1, share.weight / divisor);
+    split.push_back(WeightedService{ share.service, weight });
+  }
+  return split;
+}
+
 RouteSpec ToRoute(const RouteFields& aRoute, const std::string& aPolicy)
 {
   RouteSpec route;
@@ -176,9 +198,7 @@
   route.pathPrefix = aRoute.prefix;
   route.matching = PathMatching::Literal;
   route.policy = aPolicy;
-  for (const SplitFields& share : aRoute.split) {
-    route.split.push_back(WeightedService{ share.service, share.weight });
-  }
+  route.split = ToSplit(aRoute.split);
   route.service = aRoute.split.empty() ? aRoute.service : aRoute.split.front().service;
   return route;
 }
@@ -235,8 +255,8 @@
   }
   configuration.limits = CallerLimits{ aFields.limits.headerBytes,
                                        aFields.limits.bodyBytes,
-                                       aFields.limits.headerTimeoutMs,
-                                       aFields.limits.idleTimeoutMs };
+                                       std::min(aFields.limits.headerTimeoutMs, kMaxTimeoutMs),
+                                       std::min(aFields.limits.idleTimeoutMs, kMaxTimeoutMs) };
   absl::Status check = CheckConfiguration(configuration);
   if (!check.ok()) {
     return check;
--- a/src/platform/UpstreamReports.cpp
+++ b/src/platform/UpstreamReports.cpp
@@ -25,7 +25,7 @@
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, ReportFields& aFields)
 {
-  aVisitor.Field("service", aFields.service, MaxTextBytes{ kMaxNameBytes });
+  aVisitor.Field("service", aFields.service, MaxTextBytes{ kMaxReportBytes });
   aVisitor.Field("state", aFields.state);
   aVisitor.Field("capacity", aFields.capacity, IntegerRange{ 1, kMaxUpstreamSlots });
   aVisitor.Field("sequence", aFields.sequence, IntegerRange{ 0, INT64_MAX });
--- a/src/release/Apply.cpp
+++ b/src/release/Apply.cpp
@@ -309,9 +309,11 @@
   if (applier.Errors().HasErrors()) {
     return applier.Errors().ToStatus();
   }
-  absl::Status configurationStatus = CheckConfiguration(result);
-  if (!configurationStatus.ok()) {
-    return configurationStatus;
+  for (auto check : { CheckObjectCounts, CheckConfiguration }) {
+    absl::Status status = check(result);
+    if (!status.ok()) {
+      return status;
+    }
   }
   applier.RecordNote(aNote);
   return std::move(result);
--- a/src/release/Configuration.cpp
+++ b/src/release/Configuration.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+/// Objects that release notes may build up to.
 constexpr size_t kMaxServices = 1024;
 constexpr size_t kMaxPolicies = 512;
 constexpr size_t kMaxRoutes = 8192;
@@ -83,12 +84,18 @@
   return services;
 }
 
-absl::Status CheckConfiguration(const Configuration& aConfiguration)
+absl::Status CheckObjectCounts(const Configuration& aConfiguration)
 {
   ValidationErrors errors;
   CheckCount(errors, "service", aConfiguration.services.size(), kMaxServices);
   CheckCount(errors, "policy", aConfiguration.policies.size(), kMaxPolicies);
   CheckCount(errors, "route", aConfiguration.routes.size(), kMaxRoutes);
+  return errors.ToStatus();
+}
+
+absl::Status CheckConfiguration(const Configuration& aConfiguration)
+{
+  ValidationErrors errors;
   CheckReferences(errors, aConfiguration);
   CheckPrefixesAreUnique(errors, aConfiguration);
   return errors.ToStatus();
--- a/src/release/Configuration.h
+++ b/src/release/Configuration.h
@@ -99,11 +99,14 @@
 /// Returns the services that a route can send calls to.
 std::vector<std::string> ServicesOf(const RouteSpec& aRoute);
 
-/// Checks that the services and the policy of every route exist, that no two routes have the same
-/// host and path prefix, and that the numbers of objects are within limits. The error lists the
-/// problems, each with the object and the remedy.
+/// Checks that the services and the policy of every route exist, and that no two routes have the
+/// same host and path prefix. The error lists the problems, each with the object and the remedy.
 absl::Status CheckConfiguration(const Configuration& aConfiguration);
 
+/// Checks the numbers of objects before a note is accepted. A configuration that has been accepted
+/// already is not checked again: a node that refused it would keep acting on an older one.
+absl::Status CheckObjectCounts(const Configuration& aConfiguration);
+
 } // namespace dandelion
 
 #endif
--- a/test/error/InvalidNotesAreRefused.cpp
+++ b/test/error/InvalidNotesAreRefused.cpp
@@ -111,3 +111,22 @@
                ErrorKind::Conflict,
                "base 9 is newer");
 }
+
+Test(invalid_notes, do_not_exceed_the_number_of_objects)
+{
+  constexpr int kPoliciesLeft = 511;
+  Configuration current = MakeFirstConfiguration();
+  Note note;
+  note.id = "policies";
+  for (int i = 0; i < kPoliciesLeft; ++i) {
+    PolicySpec policy;
+    policy.name = NumberedName("added", i);
+    note.add.policies.push_back(policy);
+  }
+  cr_assert(Apply(current, note, current.version).ok());
+  note.add.policies.push_back(PolicySpec{ "one-too-many" });
+  auto result = Apply(current, note, current.version);
+  cr_assert(KindOf(result.status()) == ErrorKind::TooLarge);
+  cr_assert_neq(MessageOf(result.status()).find("513 policy objects exceed the limit of 512"),
+                std::string::npos);
+}
--- a/test/error/PlatformInputValidation.cpp
+++ b/test/error/PlatformInputValidation.cpp
@@ -3,6 +3,7 @@
 /// answer that is not the upstream's own answer to the call.
 #include "support/Check.h"
 
+#include "codec/Codec.h"
 #include "platform/Platform.h"
 
 using namespace dandelion;
@@ -41,6 +42,11 @@
   return ClassifyAnswer(MakeCall(), result, platform::MakeCallHeaderNames());
 }
 
+void CheckOk(const absl::Status& aStatus)
+{
+  cr_assert(aStatus.ok(), "%s", MessageOf(aStatus).c_str());
+}
+
 const std::pair<std::string, std::string> kId{ "Dandelionvale-Request-Id", "id-1" };
 const std::pair<std::string, std::string> kSignature{ "Dandelionvale-Server-Signature", "x" };
 
@@ -89,6 +95,68 @@
   });
 }
 
+// Guards against CONFIG: a configuration that the store had accepted was never applied, because it
+// had more timeouts than release notes may have policies.
+Test(operator_configuration, with_any_number_of_objects_is_applied_and_passed_on)
+{
+  constexpr int kRoutes = 9000;
+  Replica replica;
+  Replica peer;
+  CheckOk(replica.ApplySnapshot(*platform::ReadConfiguration(kConfiguration),
+                                HashOf(*platform::ReadConfiguration(kConfiguration))));
+  CheckOk(peer.ApplySnapshot(*replica.Current(), replica.CurrentHash()));
+  Json json = *ParseJson(kConfiguration, sizeof(kConfiguration));
+  json["version"] = 12;
+  for (int i = 0; i < kRoutes; ++i) {
+    std::string name = fmt::format("added-{}", i);
+    json["services"].push_back({ { "name", name } });
+    json["routes"].push_back({ { "name", name },
+                               { "host", "shop.example" },
+                               { "path-prefix", "/" + name + "/" },
+                               { "kind", "safe" },
+                               { "timeout", 1000 + i },
+                               { "service", name } });
+  }
+  auto configuration = platform::ReadConfiguration(json.dump());
+  CheckOk(configuration.status());
+  CheckOk(replica.ApplySnapshot(*configuration, HashOf(*configuration)));
+  auto deltas = replica.DeltasAfter(peer.Current()->version);
+  cr_assert(deltas.has_value());
+  CheckOk(peer.AdvanceByDelta(deltas->front()));
+  RouteTable table(peer.Current());
+  cr_assert_eq(table.Match("/added-640/x", "shop.example")->policy->timeoutMs, 1640);
+}
+
+// Guards against the same for names, times and weights beyond the limits of release notes.
+Test(operator_configuration, with_long_names_times_and_large_weights_is_accepted)
+{
+  constexpr int64_t kDayMs = 24 * 3600 * 1000;
+  std::string longName(200, 'n');
+  std::string longPrefix = "/" + std::string(600, 'p') + "/";
+  Json json = *ParseJson(kConfiguration, sizeof(kConfiguration));
+  json["services"][0]["name"] = longName;
+  json["routes"][0]["name"] = longName;
+  json["routes"][0]["path-prefix"] = longPrefix;
+  json["routes"][0]["service"] = longName;
+  json["routes"][0]["timeout"] = kDayMs;
+  json["routes"][0]["target-latency"] = kDayMs;
+  json["routes"][1]["split"][0] = { { "service", longName }, { "weight", 8000000000 } };
+  json["routes"][1]["split"][1]["weight"] = 1000000000;
+  json["limits"]["idle-timeout"] = kDayMs;
+  auto configuration = platform::ReadConfiguration(json.dump());
+  CheckOk(configuration.status());
+  const RouteSpec& split = configuration->routes.at("b").spec;
+  cr_assert_eq(split.split[0].weight, 8 * split.split[1].weight);
+  RouteTable table(std::make_shared<Configuration>(*configuration));
+  auto route = table.Match(longPrefix + "x", "shop.example");
+  cr_assert(route.has_value());
+  cr_assert_eq(route->service->name, longName);
+  cr_assert_eq(route->policy->timeoutMs, kMaxTimeoutMs);
+  std::string report =
+    fmt::format(R"({{"service":"{}","capacity":6,"state":"ready","sequence":4}})", longName);
+  CheckOk(platform::ReadReport(MakeReportRequest("PUT", "/v1/instances/i-1", report)).status());
+}
+
 Test(upstream_reports, are_accepted_or_rejected_by_path_method_and_body)
 {
   std::string valid =
