--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -119,6 +119,8 @@
   /// Returns the number of calls that were cancelled at a node's upstream.
   int64_t CountCancelledCalls(int aNode);
 
+  /// The loop that waits run, for servers of the test itself.
+  Loop& EventLoop() { return loop_; }
   /// Runs the loop until the condition holds; false if it does not within `aLimit`.
   bool WaitUntil(const std::function<bool()>& aCondition, Duration aLimit = seconds(30));
   void Wait(Duration aTime);
--- a/test/support/ScriptedUpstream.h
+++ b/test/support/ScriptedUpstream.h
@@ -42,12 +42,13 @@
   }
   /// Ends the connection behind the bytes of each answer.
   void CloseAfterAnswers() { closesAfterAnswers_ = true; }
+  size_t BytesRepeated() const { return bytesRepeated_; }
 
   ~ScriptedUpstream()
   {
     evconnlistener_free(listener_);
     for (const auto& connection : connections_) {
-      bufferevent_free(connection->socket);
+      Close(*connection);
     }
   }
 
@@ -60,6 +61,14 @@
     int requests = 0;
   };
 
+  static void Close(Connection& aConnection)
+  {
+    if (aConnection.socket != nullptr) {
+      bufferevent_free(aConnection.socket);
+      aConnection.socket = nullptr;
+    }
+  }
+
   void Accept(evutil_socket_t aSocket)
   {
     auto connection = std::make_unique<Connection>();
@@ -80,9 +89,15 @@
         shutdown(bufferevent_getfd(aBufferevent), SHUT_WR);
       } else if (self->requests > 0 && !repeated.empty()) {
         bufferevent_write(aBufferevent, repeated.data(), repeated.size());
+        self->upstream->bytesRepeated_ += repeated.size();
+      }
+    };
+    auto onEvent = [](bufferevent*, short aEvents, void* aContext) {
+      if ((aEvents & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        Close(*static_cast<Connection*>(aContext));
       }
     };
-    bufferevent_setcb(connection->socket, onRead, onWritten, nullptr, connection.get());
+    bufferevent_setcb(connection->socket, onRead, onWritten, onEvent, connection.get());
     bufferevent_enable(connection->socket, EV_READ | EV_WRITE);
     connections_.push_back(std::move(connection));
   }
@@ -91,6 +106,7 @@
   Script script_;
   std::string repeated_;
   bool closesAfterAnswers_ = false;
+  size_t bytesRepeated_ = 0;
   evconnlistener* listener_ = nullptr;
   std::vector<std::unique_ptr<Connection>> connections_;
 };
