Split the services' interfaces by subject; RolloutTracker becomes VersionProgress

Cause: a reader of one service saw the interfaces of all, and the tracker of release notes had the name that the roll-out of an upstream version needs. Change: Services.h is divided into NodeContext, ReleaseServices, MembershipServices, CallServices and FrontServices; spread/RolloutTracker is VersionProgress. No behaviour changes.

--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -3,7 +3,9 @@
 #ifndef DANDELION_DANDELIOND_ADMISSION_SERVICE_H
 #define DANDELION_DANDELIOND_ADMISSION_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/CallServices.h"
+#include "dandeliond/MembershipServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 #include <map>
 
--- a/src/dandeliond/FrontService.h
+++ b/src/dandeliond/FrontService.h
@@ -2,7 +2,9 @@
 #ifndef DANDELION_DANDELIOND_FRONT_SERVICE_H
 #define DANDELION_DANDELIOND_FRONT_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/CallServices.h"
+#include "dandeliond/FrontServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 namespace dandelion {
 
--- a/src/dandeliond/MembershipService.h
+++ b/src/dandeliond/MembershipService.h
@@ -2,7 +2,9 @@
 #ifndef DANDELION_DANDELIOND_MEMBERSHIP_SERVICE_H
 #define DANDELION_DANDELIOND_MEMBERSHIP_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/CallServices.h"
+#include "dandeliond/MembershipServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 namespace dandelion {
 
@@ -22,9 +24,9 @@
   const Member& Self() const override { return detector_.Self(); }
   bool IsReady() const override { return isReady_; }
   bool IsFenced(TimePoint aNow) const override;
-  std::vector<const Member*> RolloutMembersInZone(TimePoint aNow) const override
+  std::vector<const Member*> CountedMembersInZone(TimePoint aNow) const override
   {
-    return detector_.RolloutMembersInZone(aNow);
+    return detector_.CountedMembersInZone(aNow);
   }
   void OnVersionReported(const std::string& aMember, Version aVersion) override
   {
--- a/src/dandeliond/Node.h
+++ b/src/dandeliond/Node.h
@@ -2,7 +2,9 @@
 #ifndef DANDELION_DANDELIOND_NODE_H
 #define DANDELION_DANDELIOND_NODE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/CallServices.h"
+#include "dandeliond/FrontServices.h"
+#include "dandeliond/MembershipServices.h"
 #include "dandeliond/StopPlan.h"
 
 namespace dandelion {
--- a/src/dandeliond/OperatorService.h
+++ b/src/dandeliond/OperatorService.h
@@ -3,7 +3,8 @@
 #ifndef DANDELION_DANDELIOND_OPERATOR_SERVICE_H
 #define DANDELION_DANDELIOND_OPERATOR_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/MembershipServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 namespace dandelion {
 
--- a/src/dandeliond/ReleaseLogService.h
+++ b/src/dandeliond/ReleaseLogService.h
@@ -2,7 +2,7 @@
 #ifndef DANDELION_DANDELIOND_RELEASE_LOG_SERVICE_H
 #define DANDELION_DANDELIOND_RELEASE_LOG_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/ReleaseServices.h"
 
 namespace dandelion {
 
--- a/src/dandeliond/SeedsService.h
+++ b/src/dandeliond/SeedsService.h
@@ -2,7 +2,7 @@
 #ifndef DANDELION_DANDELIOND_SEEDS_SERVICE_H
 #define DANDELION_DANDELIOND_SEEDS_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/MembershipServices.h"
 
 #include <map>
 #include <random>
--- a/src/dandeliond/SpreadingService.cpp
+++ b/src/dandeliond/SpreadingService.cpp
@@ -260,7 +260,7 @@
       },
       [&](const ProgressQuery& aQuery) {
         ProgressAnswer answer{
-          aQuery.id, rollout_.Progress(aQuery.version, membership_->Table(), context_.loop.Now())
+          aQuery.id, progress_.Progress(aQuery.version, membership_->Table(), context_.loop.Now())
         };
         links_->Send(aLink, answer);
       },
@@ -315,7 +315,7 @@
                  ReportState& report = reports_[aAck.sender];
                  report.acknowledged = std::max(report.acknowledged, aAck.version);
                },
-               [&](const ZoneReport& aReport) { rollout_.OnReport(aReport, context_.loop.Now()); },
+               [&](const ZoneReport& aReport) { progress_.OnReport(aReport, context_.loop.Now()); },
                [](const auto&) {},
              },
              aDatagram);
@@ -350,8 +350,8 @@
   }
   const Member& self = membership_->Self();
   ZoneReport report =
-    MakeZoneReport(self, membership_->RolloutMembersInZone(aNow), releases_->Current()->version);
-  rollout_.OnReport(report, aNow);
+    MakeZoneReport(self, membership_->CountedMembersInZone(aNow), releases_->Current()->version);
+  progress_.OnReport(report, aNow);
   bool hasChanged = !lastZoneReport_.has_value() || !HasSameCounts(report, *lastZoneReport_);
   // Changed counts may be sent earlier than scheduled, by up to one period of unfinished reports.
   TimePoint due = hasChanged ? nextZoneReport_ - kZoneReportPeriodUnfinished : nextZoneReport_;
@@ -392,7 +392,7 @@
 {
   const Member& self = membership_->Self();
   if (IsRelay()) {
-    aDone(rollout_.Progress(aVersion, membership_->Table(), context_.loop.Now()));
+    aDone(progress_.Progress(aVersion, membership_->Table(), context_.loop.Now()));
     return;
   }
   std::vector<const Member*> relays = RelaysOfZone(membership_->Table(), self.zone);
--- a/src/dandeliond/SpreadingService.h
+++ b/src/dandeliond/SpreadingService.h
@@ -2,7 +2,8 @@
 #ifndef DANDELION_DANDELIOND_SPREADING_SERVICE_H
 #define DANDELION_DANDELIOND_SPREADING_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/MembershipServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 #include <map>
 #include <random>
@@ -72,7 +73,7 @@
   const NodeContext& context_;
   std::mt19937_64 random_;
   CatchUp catchUp_;
-  RolloutTracker rollout_;
+  VersionProgress progress_;
   Datagrams* datagrams_ = nullptr;
   Links* links_ = nullptr;
   Membership* membership_ = nullptr;
--- a/src/dandeliond/SubmissionsService.h
+++ b/src/dandeliond/SubmissionsService.h
@@ -2,7 +2,8 @@
 #ifndef DANDELION_DANDELIOND_SUBMISSIONS_SERVICE_H
 #define DANDELION_DANDELIOND_SUBMISSIONS_SERVICE_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/MembershipServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 #include <map>
 
--- a/src/dandeliond/UpstreamStateServices.h
+++ b/src/dandeliond/UpstreamStateServices.h
@@ -3,7 +3,8 @@
 #ifndef DANDELION_DANDELIOND_UPSTREAM_STATE_SERVICES_H
 #define DANDELION_DANDELIOND_UPSTREAM_STATE_SERVICES_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/CallServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 namespace dandelion {
 
--- a/src/membership/FailureDetector.cpp
+++ b/src/membership/FailureDetector.cpp
@@ -189,7 +189,7 @@
   return !isAlone && aNow - lastAnsweredRequestAt_ > kFenceTimeout;
 }
 
-std::vector<const Member*> FailureDetector::RolloutMembersInZone(TimePoint aNow) const
+std::vector<const Member*> FailureDetector::CountedMembersInZone(TimePoint aNow) const
 {
   std::vector<const Member*> counted = table_.InZone(Self().zone);
   for (const auto& [id, member] : table_.All()) {
--- a/src/membership/FailureDetector.h
+++ b/src/membership/FailureDetector.h
@@ -103,7 +103,7 @@
 
   /// Returns the members of this node's zone that must have a version before it counts as in force
   /// everywhere: all except those gone for longer than `kGoneGracePeriod`.
-  std::vector<const Member*> RolloutMembersInZone(TimePoint aNow) const;
+  std::vector<const Member*> CountedMembersInZone(TimePoint aNow) const;
 
 private:
   struct Probe
--- a/src/spread/NoteStatus.h
+++ b/src/spread/NoteStatus.h
@@ -2,7 +2,7 @@
 #ifndef DANDELION_SPREAD_NOTE_STATUS_H
 #define DANDELION_SPREAD_NOTE_STATUS_H
 
-#include "spread/RolloutTracker.h"
+#include "spread/VersionProgress.h"
 
 namespace dandelion {
 
--- a/src/spread/Spread.h
+++ b/src/spread/Spread.h
@@ -1,5 +1,5 @@
-/// Public header of the spread library: relays, overlay, joining, catch-up, freshness, rollout
-/// tracking. Contains decisions only: no sockets, no encoding.
+/// Public header of the spread library: relays, overlay, joining, catch-up, freshness and the
+/// progress of versions. Contains decisions only: no sockets, no encoding.
 #ifndef DANDELION_SPREAD_SPREAD_H
 #define DANDELION_SPREAD_SPREAD_H
 
@@ -8,6 +8,6 @@
 #include "spread/Joining.h"
 #include "spread/NoteStatus.h"
 #include "spread/Overlay.h"
-#include "spread/RolloutTracker.h"
+#include "spread/VersionProgress.h"
 
 #endif
--- a/src/spread/RolloutTracker.cpp
+++ b/src/spread/VersionProgress.cpp
@@ -1,4 +1,4 @@
-#include "spread/RolloutTracker.h"
+#include "spread/VersionProgress.h"
 
 #include <algorithm>
 
@@ -43,7 +43,7 @@
   return report;
 }
 
-void RolloutTracker::OnReport(const ZoneReport& aReport, TimePoint aNow)
+void VersionProgress::OnReport(const ZoneReport& aReport, TimePoint aNow)
 {
   ReceivedReport& stored = reports_[aReport.zone];
   // Relay and deputy both report. A report of the one that is behind must not replace the progress
@@ -55,9 +55,9 @@
   }
 }
 
-std::vector<ZoneProgress> RolloutTracker::Progress(Version aVersion,
-                                                   const MemberTable& aTable,
-                                                   TimePoint aNow) const
+std::vector<ZoneProgress> VersionProgress::Progress(Version aVersion,
+                                                    const MemberTable& aTable,
+                                                    TimePoint aNow) const
 {
   std::vector<ZoneProgress> all;
   for (const std::string& zone : aTable.Zones()) {
--- a/src/spread/RolloutTracker.h
+++ b/src/spread/VersionProgress.h
@@ -1,7 +1,7 @@
 /// Tracks how many members of each zone have a version in force. Nodes report to the relays of
 /// their zone, and the relays report to each other.
-#ifndef DANDELION_SPREAD_ROLLOUT_TRACKER_H
-#define DANDELION_SPREAD_ROLLOUT_TRACKER_H
+#ifndef DANDELION_SPREAD_VERSION_PROGRESS_H
+#define DANDELION_SPREAD_VERSION_PROGRESS_H
 
 #include "membership/Membership.h"
 #include "release/Release.h"
@@ -75,7 +75,7 @@
                           const std::vector<const Member*>& aCounted,
                           Version aNewest);
 
-class RolloutTracker
+class VersionProgress
 {
 public:
   void OnReport(const ZoneReport& aReport, TimePoint aNow);
--- a/test/correctness/OverlayReachesEveryMember.cpp
+++ b/test/correctness/OverlayReachesEveryMember.cpp
@@ -121,7 +121,7 @@
 Test(rollout_tracker, counts_only_reported_versions)
 {
   MemberTable table = MakeTable(1, 2);
-  RolloutTracker tracker;
+  VersionProgress tracker;
   TimePoint now;
   cr_assert(!IsInForceEverywhere(tracker.Progress(3, table, now)));
   for (const char* region : { "east", "west" }) {
--- a/test/property/FailuresAreDetected.cpp
+++ b/test/property/FailuresAreDetected.cpp
@@ -196,7 +196,7 @@
       // by then.
       int observer = node % 2 == 0 ? (node == 0 ? 2 : 0) : (node == 1 ? 3 : 1);
       bool isCounted = false;
-      for (const Member* member : network.Detector(observer).RolloutMembersInZone(network.Now())) {
+      for (const Member* member : network.Detector(observer).CountedMembersInZone(network.Now())) {
         isCounted = isCounted || member->id == fmt::format("m{}", node);
       }
       RC_ASSERT(isCounted || network.Detector(node).IsFenced(network.Now()));
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -2,7 +2,9 @@
 #ifndef DANDELION_TEST_SUPPORT_MOCKS_H
 #define DANDELION_TEST_SUPPORT_MOCKS_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/CallServices.h"
+#include "dandeliond/MembershipServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 #include <criterion/criterion.h>
 #include <trompeloeil.hpp>
@@ -146,7 +148,7 @@
   const Member& Self() const override { return *table.Find(selfId_); }
   bool IsReady() const override { return true; }
   bool IsFenced(TimePoint /* aNow */) const override { return isFenced; }
-  std::vector<const Member*> RolloutMembersInZone(TimePoint /* aNow */) const override
+  std::vector<const Member*> CountedMembersInZone(TimePoint /* aNow */) const override
   {
     return {};
   }
