Split carrying of attempts from CallsService

Change: CarrierService (ServiceName::Carrier) sends and cancels attempts, over a link or to the admission queue of its own node, and settles those of a closed link. The tests of retries drive it in place of the calls service, with the same assertions.

--- a/src/dandeliond/CallInProgress.h
+++ b/src/dandeliond/CallInProgress.h
@@ -2,7 +2,7 @@
 #ifndef DANDELION_DANDELIOND_CALL_IN_PROGRESS_H
 #define DANDELION_DANDELIOND_CALL_IN_PROGRESS_H
 
-#include "dandeliond/Services.h"
+#include "dandeliond/CallServices.h"
 
 #include <map>
 
@@ -10,13 +10,10 @@
 
 using AttemptId = uint64_t;
 
-/// One attempt that has not ended; `link` is empty for the upstream beside this node, and `ticket`
-/// is used only there.
+/// One attempt that has not ended.
 struct OpenAttempt
 {
   std::string member;
-  std::optional<LinkId> link;
-  Admission::Ticket ticket = 0;
   TimePoint sentAt;
   /// Sent with a maximum queue delay: the upstream's node refuses it if it would wait longer.
   bool isShortWait = false;
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -33,13 +33,11 @@
 absl::Status CallsService::Start()
 {
   Registry& registry = context_.registry;
-  links_ = &registry.Find<Links>(ServiceName::Links);
   releases_ = &registry.Find<Releases>(ServiceName::Releases);
   membership_ = &registry.Find<Membership>(ServiceName::Membership);
   spreading_ = &registry.Find<Spreading>(ServiceName::Spreading);
-  admission_ = &registry.Find<Admission>(ServiceName::Admission);
+  carrier_ = &registry.Find<Carrier>(ServiceName::Carrier);
   metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
-  links_->AddHandler(*this);
   membership_->AddListener([this] {
     if (context_.settings.environment == EnvironmentName::Platform) {
       // Retry budgets are shared by all nodes, so the share of one node depends on their number.
@@ -202,29 +200,7 @@
   call.tried.OnSent(aMember.id);
   callByAttempt_[id] = aId;
   choice_.OnAttemptStarted(aMember.id);
-  if (aMember.id == context_.settings.id) {
-    SendLocally(aId, id, openCall);
-    return;
-  }
-  const Endpoint& endpoint = EndpointFrom(context_.settings.region, aMember);
-  attempt.link = links_->Open(endpoint, LaneFor(call.limits.trafficClass));
-  links_->AwaitAnswer(*attempt.link);
-  links_->Send(*attempt.link, openCall);
-}
-
-void CallsService::SendLocally(CallId aId, AttemptId aAttempt, const OpenCall& aOpenCall)
-{
-  auto onReply = [this, aAttempt](const CallReply& aReply) { OnReply(aAttempt, aReply); };
-  Admission::Ticket ticket = admission_->Serve(aOpenCall, onReply);
-  // `Serve` may refuse the call before it returns, and the refusal may have completed the call.
-  auto call = calls_.find(aId);
-  if (call == calls_.end()) {
-    return;
-  }
-  auto attempt = call->second.openAttempts.find(aAttempt);
-  if (attempt != call->second.openAttempts.end()) {
-    attempt->second.ticket = ticket;
-  }
+  carrier_->Send(aMember, openCall, [this, id](const CallReply& aReply) { OnReply(id, aReply); });
 }
 
 void CallsService::ScheduleHedge(CallId aId)
@@ -251,49 +227,6 @@
   }
 }
 
-void CallsService::OnLinkMessage(LinkId aLink, const LinkMessage& aMessage)
-{
-  std::visit(Overloaded{
-               [&](const CallReply& aReply) {
-                 // A late answer to a cancelled attempt is ignored; the cancellation has ended the
-                 // wait for it.
-                 if (callByAttempt_.count(aReply.id) > 0) {
-                   links_->AnswerReceived(aLink);
-                   OnReply(aReply.id, aReply);
-                 }
-               },
-               [](const auto&) {},
-             },
-             aMessage);
-}
-
-void CallsService::OnLinkClosed(LinkId aLink, const std::vector<LinkMessage>& aUnsent)
-{
-  std::set<AttemptId> unsent;
-  for (const LinkMessage& message : aUnsent) {
-    if (const auto* openCall = std::get_if<OpenCall>(&message)) {
-      unsent.insert(openCall->id);
-    }
-  }
-  std::vector<AttemptId> lost;
-  for (const auto& [callId, call] : calls_) {
-    for (const auto& [id, attempt] : call.openAttempts) {
-      if (attempt.link == aLink) {
-        lost.push_back(id);
-      }
-    }
-  }
-  for (AttemptId attempt : lost) {
-    CallReply reply;
-    reply.id = attempt;
-    // A message that was sent may have reached the upstream before the link closed.
-    bool hasLeft = unsent.count(attempt) == 0;
-    reply.outcome = hasLeft ? CallOutcome::Unknown : CallOutcome::NotRun;
-    reply.error = hasLeft ? ErrorKind::OutcomeUnknown : ErrorKind::Unreachable;
-    OnReply(attempt, reply);
-  }
-}
-
 void CallsService::OnReply(AttemptId aAttempt, const CallReply& aReply)
 {
   auto found = callByAttempt_.find(aAttempt);
@@ -444,12 +377,7 @@
     result.latency = now - attempt.sentAt;
     result.isCensored = true;
     choice_.OnAttemptEnded(attempt.member, result, now);
-    if (attempt.link.has_value()) {
-      links_->AnswerReceived(*attempt.link);
-      links_->Send(*attempt.link, CancelCall{ id });
-    } else {
-      admission_->Cancel(attempt.ticket);
-    }
+    carrier_->Cancel(id);
   }
 }
 
@@ -477,11 +405,4 @@
   call.onAnswer(aAnswer);
 }
 
-Lane CallsService::LaneFor(TrafficClass aClass) const
-{
-  bool usesBulkLane = aClass == TrafficClass::Bulk || aClass == TrafficClass::Background;
-  bool hasLanesByClass = context_.settings.lanes == LanesName::ByClass;
-  return usesBulkLane && hasLanesByClass ? Lane::Bulk : Lane::Short;
-}
-
 } // namespace dandelion
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -1,8 +1,11 @@
-/// Sends calls of callers to upstreams, with retries and hedged attempts where they are safe.
+/// Chooses where the calls of callers are sent, with retries and hedged attempts where they are
+/// safe. `CarrierService` carries the attempts.
 #ifndef DANDELION_DANDELIOND_CALLS_SERVICE_H
 #define DANDELION_DANDELIOND_CALLS_SERVICE_H
 
 #include "dandeliond/CallInProgress.h"
+#include "dandeliond/MembershipServices.h"
+#include "dandeliond/ReleaseServices.h"
 
 #include <map>
 #include <random>
@@ -12,7 +15,6 @@
 class CallsService
   : public Service
   , public Calls
-  , public LinkHandler
 {
 public:
   CallsService(const NodeContext& aContext, uint64_t aSeed);
@@ -27,9 +29,6 @@
   void AnswerOutstanding() override;
   size_t InProgress() const override { return calls_.size(); }
 
-  void OnLinkMessage(LinkId aLink, const LinkMessage& aMessage) override;
-  void OnLinkClosed(LinkId aLink, const std::vector<LinkMessage>& aUnsent) override;
-
 private:
   /// Routes the call by the newest configuration. Returns false and sets `aRefusal` if the call
   /// cannot be routed or this node must not take it.
@@ -41,7 +40,6 @@
   /// Sends the next attempt, or answers the call where no upstream is left.
   void SendNext(CallId aId);
   void SendAttempt(CallId aId, const Member& aMember, bool aHasTakenRetry = false);
-  void SendLocally(CallId aId, AttemptId aAttempt, const OpenCall& aOpenCall);
   void ScheduleHedge(CallId aId);
   void Hedge(CallId aId);
   void OnReply(AttemptId aAttempt, const CallReply& aReply);
@@ -53,7 +51,6 @@
   void OnDeadline(CallId aId);
   void CancelAttempts(CallInProgress& aCall);
   void Answer(CallId aId, CallerAnswer aAnswer);
-  Lane LaneFor(TrafficClass aClass) const;
 
   const NodeContext& context_;
   UpstreamChoice choice_;
@@ -63,11 +60,10 @@
   /// Calls that may end later are refused.
   std::optional<TimePoint> latestEnd_;
   std::mt19937_64 random_;
-  Links* links_ = nullptr;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
   Spreading* spreading_ = nullptr;
-  Admission* admission_ = nullptr;
+  Carrier* carrier_ = nullptr;
   Metrics* metrics_ = nullptr;
   CallId nextCall_ = 1;
   AttemptId nextAttempt_ = 1;
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "dandeliond/AdmissionService.h"
 #include "dandeliond/CallsService.h"
+#include "dandeliond/CarrierService.h"
 #include "dandeliond/FollowingService.h"
 #include "dandeliond/FrontService.h"
 #include "dandeliond/MembershipService.h"
@@ -163,6 +164,7 @@
   add(ServiceName::Seeds, std::make_unique<SeedsService>(context_, aSeed + 3));
   add(ServiceName::Submissions, std::make_unique<SubmissionsService>(context_));
   add(ServiceName::Admission, std::make_unique<AdmissionService>(context_));
+  add(ServiceName::Carrier, std::make_unique<CarrierService>(context_));
   add(ServiceName::Calls, std::make_unique<CallsService>(context_, aSeed + 2));
   add(ServiceName::Front, std::make_unique<FrontService>(context_));
   if (settings_.readiness.has_value()) {
--- a/test/correctness/CallsAreRetriedSafely.cpp
+++ b/test/correctness/CallsAreRetriedSafely.cpp
@@ -6,6 +6,7 @@
 #include "support/Notes.h"
 
 #include "dandeliond/CallsService.h"
+#include "dandeliond/CarrierService.h"
 
 using namespace dandelion;
 using namespace dandelion::testing;
@@ -33,6 +34,7 @@
     membership->table.Merge(MakeMember("b", "s0", 3));
     AddService<FakeSpreading>(registry, ServiceName::Spreading);
     AddService<MockAdmission>(registry, ServiceName::Admission);
+    carrier = &AddService<CarrierService>(registry, ServiceName::Carrier, context);
     calls = &AddService<CallsService>(registry, ServiceName::Calls, context, 3u);
     expectations.push_back(NAMED_ALLOW_CALL(*links, AddHandler(_)));
     expectations.push_back(NAMED_ALLOW_CALL(*links, AwaitAnswer(_)));
@@ -63,7 +65,7 @@
     reply.error = aError;
     reply.isRetried = aIsRetried;
     reply.status = aOutcome == CallOutcome::Ran ? aStatus : 0;
-    calls->OnLinkMessage(link, reply);
+    carrier->OnLinkMessage(link, reply);
   }
 
   Loop loop;
@@ -73,6 +75,7 @@
   FakeReleases* releases = nullptr;
   FakeMembership* membership = nullptr;
   MockLinks* links = nullptr;
+  CarrierService* carrier = nullptr;
   CallsService* calls = nullptr;
   InheritedLimits limits;
   std::vector<std::pair<LinkId, LinkMessage>> sent;
@@ -117,10 +120,10 @@
   fixture.Begin("POST");
   auto [link, message] = fixture.sent.back();
   // The message was not sent before the link closed, so the call has not run and is retried.
-  fixture.calls->OnLinkClosed(link, { message });
+  fixture.carrier->OnLinkClosed(link, { message });
   cr_assert_eq(fixture.sent.size(), 2);
   // The second message was sent, so the call may have run and is not retried.
-  fixture.calls->OnLinkClosed(fixture.sent.back().first, {});
+  fixture.carrier->OnLinkClosed(fixture.sent.back().first, {});
   cr_assert_eq(fixture.sent.size(), 2);
   cr_assert(fixture.answers.at(0).outcome == CallOutcome::Unknown);
 }
@@ -272,7 +275,7 @@
     ran.freeSlots = 4;
     ran.serviceTimeUs = 1000;
     ran.elapsedUs = 1000;
-    fixture.calls->OnLinkMessage(fixture.sent.at(aSent).first, ran);
+    fixture.carrier->OnLinkMessage(fixture.sent.at(aSent).first, ran);
   };
   fixture.Begin("GET");
   LinkId distant = fixture.sent.at(0).first;
