Interfaces of accounts, versions, overload and memory; specification of the parts under load

Cause: five parts are added side by side and must agree on types and messages first. Change: libraries accounts, versions, overload and memory with their public headers, the fields and messages that nodes exchange, and docs/design/parts-under-load.md. Nothing uses them yet.

--- /dev/null
+++ b/src/accounts/Accounts.h
@@ -0,0 +1,9 @@
+/// Public header of the accounts library: client accounts, their keys and usage caps.
+/// It only makes decisions: it opens no sockets and encodes no messages.
+#ifndef DANDELION_ACCOUNTS_ACCOUNTS_H
+#define DANDELION_ACCOUNTS_ACCOUNTS_H
+
+#include "accounts/AccountTable.h"
+#include "accounts/CapMessages.h"
+
+#endif
--- a/src/membership/Member.h
+++ b/src/membership/Member.h
@@ -84,6 +84,8 @@
   int64_t relayCapacity = 0;
   /// Latency of the store's answers to this node; 0 while the store does not answer it.
   int64_t storeLatencyMs = 0;
+  /// Software version that the upstream reports; empty if it reports none.
+  std::string upstreamVersion = {};
 };
 
 template<class Visitor>
@@ -108,6 +110,7 @@
   aVisitor.Field("slots", aMember.slots);
   aVisitor.Field("strength", aMember.relayCapacity);
   aVisitor.Field("store_time_ms", aMember.storeLatencyMs);
+  aVisitor.Field("upstream_version", aMember.upstreamVersion);
 }
 
 /// Returns the endpoint at which nodes of `aRegion` reach the member.
--- a/src/release/Configuration.h
+++ b/src/release/Configuration.h
@@ -47,6 +47,7 @@
   VersionedMap<ServiceSpec> services;
   VersionedMap<PolicySpec> policies;
   VersionedMap<RouteSpec> routes;
+  VersionedMap<AccountSpec> accounts;
   /// "kind/name" of withdrawn objects and the version that withdrew each. Kept as long as the notes
   /// of the same versions.
   std::map<std::string, Version> withdrawn;
@@ -88,6 +89,7 @@
   aVisitor.Field("services", aConfiguration.services);
   aVisitor.Field("policies", aConfiguration.policies);
   aVisitor.Field("routes", aConfiguration.routes);
+  aVisitor.OptionalField("accounts", aConfiguration.accounts);
   aVisitor.Field("withdrawn", aConfiguration.withdrawn);
   aVisitor.Field("notes", aConfiguration.notes);
   aVisitor.Field("limits", aConfiguration.limits);
--- a/src/release/ConfigurationDelta.h
+++ b/src/release/ConfigurationDelta.h
@@ -20,6 +20,7 @@
   std::vector<Versioned<ServiceSpec>> services;
   std::vector<Versioned<PolicySpec>> policies;
   std::vector<Versioned<RouteSpec>> routes;
+  std::vector<Versioned<AccountSpec>> accounts;
   ObjectNames removed;
   CallerLimits limits;
 };
@@ -34,6 +35,7 @@
   aVisitor.Field("services", aDelta.services);
   aVisitor.Field("policies", aDelta.policies);
   aVisitor.Field("routes", aDelta.routes);
+  aVisitor.OptionalField("accounts", aDelta.accounts);
   aVisitor.Field("removed", aDelta.removed);
   aVisitor.Field("limits", aDelta.limits);
 }
--- a/src/release/Note.h
+++ b/src/release/Note.h
@@ -19,6 +19,7 @@
   std::vector<ServiceSpec> services;
   std::vector<PolicySpec> policies;
   std::vector<RouteSpec> routes;
+  std::vector<AccountSpec> accounts;
 };
 
 struct ObjectNames
@@ -26,6 +27,7 @@
   std::vector<std::string> services;
   std::vector<std::string> policies;
   std::vector<std::string> routes;
+  std::vector<std::string> accounts;
 };
 
 struct Note
@@ -56,6 +58,7 @@
   aVisitor.OptionalField("services", aSet.services);
   aVisitor.OptionalField("policies", aSet.policies);
   aVisitor.OptionalField("routes", aSet.routes);
+  aVisitor.OptionalField("accounts", aSet.accounts);
 }
 
 template<class Visitor>
@@ -64,6 +67,7 @@
   aVisitor.OptionalField("services", aNames.services);
   aVisitor.OptionalField("policies", aNames.policies);
   aVisitor.OptionalField("routes", aNames.routes);
+  aVisitor.OptionalField("accounts", aNames.accounts);
 }
 
 template<class Visitor>
--- a/src/release/Objects.h
+++ b/src/release/Objects.h
@@ -5,6 +5,7 @@
 #include "kernel/Kernel.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,7 @@
   Service,
   Policy,
   Route,
+  Account,
 };
 
 template<>
@@ -48,6 +50,7 @@
     { ObjectKind::Service, "service" },
     { ObjectKind::Policy, "policy" },
     { ObjectKind::Route, "route" },
+    { ObjectKind::Account, "account" },
   };
 };
 
@@ -133,6 +136,24 @@
   PathMatching matching = PathMatching::BySegments;
   /// Calls are distributed in proportion to the weights. If empty, all calls go to `service`.
   std::vector<WeightedService> split = {};
+  /// Calls need no key of a client account. Without accounts in the configuration no call needs
+  /// one.
+  bool isAnonymous = false;
+};
+
+/// A client account: who sends calls, and how many.
+struct AccountSpec
+{
+  static constexpr ObjectKind kKind = ObjectKind::Account;
+  std::string name;
+  /// Digests of its API keys; the keys themselves are not kept.
+  std::vector<std::string> keyDigests;
+  /// Priority of its calls in place of the policy's; 0 is the highest.
+  std::optional<int64_t> priority;
+  /// Calls a second that it may send through all nodes together; 0 for no limit.
+  int64_t ratePerS = 0;
+  /// Calls that it may send at once beyond the rate.
+  int64_t burst = 0;
 };
 
 template<class Visitor>
@@ -175,6 +196,17 @@
   aVisitor.OptionalField("host", aRoute.host);
   aVisitor.OptionalField("matching", aRoute.matching);
   aVisitor.OptionalField("split", aRoute.split);
+  aVisitor.OptionalField("anonymous", aRoute.isAnonymous);
+}
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, AccountSpec& aAccount)
+{
+  aVisitor.Field("name", aAccount.name, MaxTextBytes{ kMaxNameBytes });
+  aVisitor.OptionalField("key_digests", aAccount.keyDigests);
+  aVisitor.OptionalField("priority", aAccount.priority);
+  aVisitor.OptionalField("rate_per_s", aAccount.ratePerS);
+  aVisitor.OptionalField("burst", aAccount.burst);
 }
 
 } // namespace dandelion
--- /dev/null
+++ b/src/versions/Rollout.cpp
@@ -0,0 +1,1 @@
+#include "versions/Rollout.h"
--- a/src/wire/Messages.h
+++ b/src/wire/Messages.h
@@ -2,9 +2,11 @@
 #ifndef DANDELION_WIRE_MESSAGES_H
 #define DANDELION_WIRE_MESSAGES_H
 
+#include "accounts/Accounts.h"
 #include "codec/Codec.h"
 #include "routing/Routing.h"
 #include "spread/Spread.h"
+#include "versions/Versions.h"
 
 #include <string>
 #include <utility>
@@ -133,6 +135,10 @@
   std::string requestId = {};
   /// The upstream incarnation that the call is addressed to. Set by the upstream's node.
   std::string upstreamId = {};
+  /// Name of the client account that sent the call; empty for an anonymous one.
+  std::string account = {};
+  /// Whether the node that accepted the call is in another availability zone.
+  bool isFromOtherZone = false;
 };
 
 struct CallReply
@@ -180,7 +186,9 @@
                                  ProgressAnswer,
                                  OpenCall,
                                  CallReply,
-                                 CancelCall>;
+                                 CancelCall,
+                                 TokenRequest,
+                                 TokenGrant>;
 
 /// A message on a link with its sender's configuration version.
 struct LinkEnvelope
@@ -213,8 +221,15 @@
   int64_t revision = 0;
 };
 
-using Datagram = std::
-  variant<Ping, Ack, PingRequest, VersionReport, VersionReportAck, ZoneReport, VersionConfirmation>;
+using Datagram = std::variant<Ping,
+                              Ack,
+                              PingRequest,
+                              VersionReport,
+                              VersionReportAck,
+                              ZoneReport,
+                              VersionConfirmation,
+                              RolloutReport,
+                              RolloutPermit>;
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, Hello& aHello)
@@ -301,6 +316,8 @@
   aVisitor.Field("caller_service", aCall.callerService);
   aVisitor.Field("request_id", aCall.requestId);
   aVisitor.Field("upstream_id", aCall.upstreamId);
+  aVisitor.Field("account", aCall.account);
+  aVisitor.Field("other_zone", aCall.isFromOtherZone);
 }
 
 template<class Visitor>
