Run safe requests of one connection side by side

A connection processed one request at a time, so that a client that pipelines waited for the sum of all its calls.

The connection and exchange classes move to HttpConnection. Up to 8 requests are begun if they are GET or HEAD without a body, and their responses are written in the order of the requests. Whether the connection closes is decided when the last head is written. No request is begun while 256 KiB of responses are not yet sent. A stream that its handler drops now ends the connection after the bytes before it are written, where it was closed with them unsent.

--- /dev/null
+++ b/src/wire/HttpConnection.cpp
@@ -0,0 +1,449 @@
+#include "wire/HttpConnection.h"
+
+#include "absl/strings/match.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <algorithm>
+#include <array>
+
+namespace dandelion {
+
+namespace {
+
+/// Limit of bytes buffered behind the request that is read. Reading continues during a request so
+/// that a disconnect of its client is detected. The parser takes at most one such buffer behind the
+/// head of a request that has to wait for others.
+constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+/// Limit of requests of one connection that are in progress.
+constexpr size_t kMaxConcurrentRequests = 8;
+/// No further request of a connection is begun while its responses that are not yet sent take this
+/// many bytes, so that a client that reads slowly or asks for much cannot fill the memory.
+constexpr size_t kMaxHeldResponseBytes = 256 * 1024;
+
+std::string_view ReasonPhrase(int aStatus)
+{
+  switch (aStatus) {
+#define DANDELION_PHRASE(number, name, text)                                                       \
+  case number:                                                                                     \
+    return #text;
+    HTTP_STATUS_MAP(DANDELION_PHRASE)
+#undef DANDELION_PHRASE
+  }
+  return "Status";
+}
+
+/// Whether the server sets this header itself to frame its responses. A handler's value is omitted.
+bool IsFramingHeader(const std::string& aName)
+{
+  constexpr std::array<const char*, 3> kFramingHeaders = { "content-length",
+                                                           "transfer-encoding",
+                                                           "connection" };
+  auto isEqual = [&](const char* aOther) { return absl::EqualsIgnoreCase(aName, aOther); };
+  return std::any_of(kFramingHeaders.begin(), kFramingHeaders.end(), isEqual);
+}
+
+int StatusFor(HttpParseError aError)
+{
+  switch (aError) {
+    case HttpParseError::HeaderTooLarge:
+      return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+    case HttpParseError::BodyTooLarge:
+      return HTTP_STATUS_PAYLOAD_TOO_LARGE;
+    case HttpParseError::None:
+    case HttpParseError::Malformed:
+      break;
+  }
+  return HTTP_STATUS_BAD_REQUEST;
+}
+
+} // namespace
+
+HttpServer::Exchange::Exchange(Connection& aConnection,
+                               Connection::Response& aResponse,
+                               HttpRequest aRequest)
+  : request_(std::move(aRequest))
+  , connection_(&aConnection)
+  , response_(&aResponse)
+{
+}
+
+HttpServer::Exchange::~Exchange()
+{
+  if (connection_ == nullptr) {
+    return;
+  }
+  if (isStreaming_) {
+    // `EndStream` was not called, so the client must see that the body is incomplete.
+    connection_->CutShort(*response_);
+    return;
+  }
+  // If the handler drops the exchange without a reply, the client still gets a response.
+  HttpResponse response;
+  response.status = TraitsOf(ErrorKind::Internal).httpStatus;
+  connection_->SendHead(*response_, response, false);
+  Finish();
+}
+
+void HttpServer::Exchange::Reply(const HttpResponse& aResponse)
+{
+  if (connection_ != nullptr && !isStreaming_) {
+    connection_->SendHead(*response_, aResponse, false);
+    Finish();
+  }
+}
+
+void HttpServer::Exchange::BeginStream(const HttpResponse& aHead)
+{
+  if (connection_ != nullptr && !isStreaming_) {
+    isStreaming_ = true;
+    connection_->SendHead(*response_, aHead, true);
+  }
+}
+
+void HttpServer::Exchange::SendChunk(const std::string& aChunk)
+{
+  if (connection_ != nullptr && isStreaming_) {
+    connection_->SendChunk(*response_, aChunk);
+  }
+}
+
+void HttpServer::Exchange::EndStream()
+{
+  if (connection_ != nullptr && isStreaming_) {
+    Finish();
+  }
+}
+
+void HttpServer::Exchange::OnClientDisconnected(std::function<void()> aCallback)
+{
+  onClientDisconnected_ = std::move(aCallback);
+}
+
+std::function<void()> HttpServer::Exchange::Disconnect()
+{
+  connection_ = nullptr;
+  return std::exchange(onClientDisconnected_, nullptr);
+}
+
+void HttpServer::Exchange::Finish()
+{
+  Connection* connection = std::exchange(connection_, nullptr);
+  onClientDisconnected_ = nullptr;
+  connection->Complete(*response_);
+}
+
+HttpServer::Connection::Connection(HttpServer& aServer, ConnectionId aId, int aSocket)
+  : server_(aServer)
+  , id_(aId)
+  , socket_(bufferevent_socket_new(aServer.loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
+  , parser_(HttpSide::Request, aServer.limits_)
+  , lastActivity_(aServer.loop_.Now())
+{
+  bufferevent_setcb(
+    socket_, &Connection::OnReadable, &Connection::OnWritten, &Connection::OnSocketEvent, this);
+  bufferevent_setwatermark(socket_, EV_READ, 0, kMaxReadAheadBytes);
+  bufferevent_enable(socket_, EV_READ | EV_WRITE);
+}
+
+HttpServer::Connection::~Connection()
+{
+  bufferevent_free(socket_);
+}
+
+void HttpServer::Connection::Write(std::string_view aBytes)
+{
+  bufferevent_write(socket_, aBytes.data(), aBytes.size());
+}
+
+void HttpServer::Connection::OnReadable(bufferevent* /* aSocket */, void* aContext)
+{
+  static_cast<Connection*>(aContext)->Read();
+}
+
+void HttpServer::Connection::Read()
+{
+  // A reply from within the handler calls `Read` again; the outer call reads the next request.
+  if (isReading_) {
+    return;
+  }
+  isReading_ = true;
+  while (ReadStep()) {
+  }
+  isReading_ = false;
+}
+
+bool HttpServer::Connection::HoldsTooMuch() const
+{
+  size_t bytes = evbuffer_get_length(bufferevent_get_output(socket_));
+  for (const Response& response : responses_) {
+    bytes += response.head.size() + response.held.size();
+  }
+  return bytes >= kMaxHeldResponseBytes;
+}
+
+bool HttpServer::Connection::MayReadNext() const
+{
+  if (isDetached_ || closesWhenWritten_ || hasLastRequest_) {
+    return false;
+  }
+  if (responses_.empty()) {
+    return true;
+  }
+  // During a planned stop, the last request in progress is the last one of its connection.
+  return !server_.isClosing_ && responses_.size() < kMaxConcurrentRequests &&
+         std::all_of(responses_.begin(), responses_.end(), [](const Response& aResponse) {
+           return aResponse.mayRunBesideOthers;
+         });
+}
+
+bool HttpServer::Connection::ReadStep()
+{
+  if (!MayReadNext()) {
+    return false;
+  }
+  bool mustWait = parser_.HasHeaders() && !parser_.IsBodilessRead() && !responses_.empty();
+  bool isBeforeBegin = !parser_.HasStarted() || parser_.IsComplete();
+  if (mustWait || (isBeforeBegin && HoldsTooMuch())) {
+    return false;
+  }
+  if (parser_.IsComplete()) {
+    BeginExchange();
+    return true;
+  }
+  if (parser_.ExpectsContinue() && !hasSentContinue_) {
+    hasSentContinue_ = true;
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return FeedParser();
+}
+
+bool HttpServer::Connection::FeedParser()
+{
+  evbuffer* input = bufferevent_get_input(socket_);
+  size_t contiguous = evbuffer_get_contiguous_space(input);
+  if (contiguous == 0) {
+    return false;
+  }
+  lastActivity_ = server_.loop_.Now();
+  if (!parser_.HasStarted()) {
+    headBeganAt_ = lastActivity_;
+  }
+  const char* bytes =
+    reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(contiguous)));
+  size_t consumed = parser_.Feed(bytes, contiguous);
+  evbuffer_drain(input, consumed);
+  if (parser_.ParseError() != HttpParseError::None) {
+    Reject(parser_.ParseError());
+    return false;
+  }
+  return true;
+}
+
+void HttpServer::Connection::BeginExchange()
+{
+  hasLastRequest_ = !parser_.KeepsAlive();
+  Response& response = responses_.emplace_back();
+  response.mayRunBesideOthers = parser_.IsBodilessRead();
+  HttpRequest request = parser_.TakeRequest();
+  response.isHeadRequest = request.method == "HEAD";
+  parser_.Reset();
+  hasSentContinue_ = false;
+  auto exchange = std::make_shared<Exchange>(*this, response, std::move(request));
+  response.exchange = exchange.get();
+  response.exchangeOwner = exchange;
+  server_.handler_(std::move(exchange));
+}
+
+void HttpServer::Connection::Reject(HttpParseError aError)
+{
+  hasLastRequest_ = true;
+  Response& response = responses_.emplace_back();
+  HttpResponse content;
+  content.status = StatusFor(aError);
+  SendHead(response, content, false);
+  Complete(response);
+}
+
+void HttpServer::Connection::SendHead(Response& aResponse,
+                                      const HttpResponse& aContent,
+                                      bool aIsStream)
+{
+  std::string& head = aResponse.head;
+  head = fmt::format("HTTP/1.1 {} {}\r\n", aContent.status, ReasonPhrase(aContent.status));
+  for (const auto& [name, value] : aContent.headers) {
+    if (!IsFramingHeader(name)) {
+      head += fmt::format("{}: {}\r\n", name, value);
+    }
+  }
+  bool hasNoBody = aContent.status == HTTP_STATUS_NO_CONTENT ||
+                   aContent.status == HTTP_STATUS_NOT_MODIFIED || aContent.status < 200;
+  aResponse.isChunked = aIsStream && !aResponse.isHeadRequest;
+  if (aResponse.isChunked) {
+    head += "Transfer-Encoding: chunked\r\n";
+  } else if (!hasNoBody) {
+    head += fmt::format("Content-Length: {}\r\n", aContent.body.size());
+  }
+  aResponse.hasHead = true;
+  WriteReady();
+  if (!aIsStream && !aResponse.isHeadRequest && !hasNoBody) {
+    Append(aResponse, aContent.body);
+  }
+}
+
+void HttpServer::Connection::Append(Response& aResponse, std::string_view aBytes)
+{
+  if (aResponse.isHeadWritten) {
+    Write(aBytes);
+  } else {
+    aResponse.held += aBytes;
+  }
+}
+
+void HttpServer::Connection::SendChunk(Response& aResponse, const std::string& aChunk)
+{
+  if (aResponse.isChunked && !aChunk.empty()) {
+    Append(aResponse, fmt::format("{:x}\r\n", aChunk.size()));
+    Append(aResponse, aChunk);
+    Append(aResponse, "\r\n");
+  }
+}
+
+void HttpServer::Connection::Complete(Response& aResponse)
+{
+  if (aResponse.isChunked) {
+    Append(aResponse, "0\r\n\r\n");
+  }
+  aResponse.isComplete = true;
+  aResponse.exchange = nullptr;
+  WriteReady();
+  Read();
+}
+
+void HttpServer::Connection::CutShort(Response& aResponse)
+{
+  aResponse.isCutShort = true;
+  aResponse.exchange = nullptr;
+  hasLastRequest_ = true;
+  WriteReady();
+}
+
+void HttpServer::Connection::WriteReady()
+{
+  while (!responses_.empty() && responses_.front().hasHead) {
+    Response& first = responses_.front();
+    if (!first.isHeadWritten) {
+      WriteHead(first);
+    }
+    Write(first.held);
+    first.held.clear();
+    if (first.isCutShort) {
+      // The responses behind it cannot be written any more.
+      CancelExchanges();
+      CloseWhenWritten();
+      return;
+    }
+    if (!first.isComplete) {
+      return;
+    }
+    bool closesConnection = first.closesConnection;
+    responses_.pop_front();
+    if (closesConnection) {
+      CloseWhenWritten();
+      return;
+    }
+    if (responses_.empty()) {
+      // The time of a head that is partly read begins here: it waited for the responses.
+      lastActivity_ = headBeganAt_ = server_.loop_.Now();
+    }
+  }
+}
+
+void HttpServer::Connection::WriteHead(Response& aResponse)
+{
+  bool isLast = responses_.size() == 1;
+  aResponse.closesConnection = isLast && (hasLastRequest_ || server_.isClosing_);
+  hasLastRequest_ = hasLastRequest_ || aResponse.closesConnection;
+  Write(aResponse.head);
+  Write(aResponse.closesConnection ? "Connection: close\r\n\r\n" : "\r\n");
+  aResponse.head.clear();
+  aResponse.isHeadWritten = true;
+  lastActivity_ = server_.loop_.Now();
+}
+
+void HttpServer::Connection::CloseWhenWritten()
+{
+  closesWhenWritten_ = true;
+  if (evbuffer_get_length(bufferevent_get_output(socket_)) == 0) {
+    server_.Close(id_);
+  }
+}
+
+void HttpServer::Connection::OnWritten(bufferevent* /* aSocket */, void* aContext)
+{
+  auto* self = static_cast<Connection*>(aContext);
+  self->lastActivity_ = self->server_.loop_.Now();
+  if (self->closesWhenWritten_) {
+    self->server_.Close(self->id_);
+    return;
+  }
+  self->Read();
+}
+
+void HttpServer::Connection::OnSocketEvent(bufferevent* /* aSocket */,
+                                           short /* aEvents */,
+                                           void* aContext)
+{
+  auto* self = static_cast<Connection*>(aContext);
+  self->server_.Close(self->id_);
+}
+
+void HttpServer::Connection::CancelExchanges()
+{
+  // All exchanges are detached before the first callback: a callback may complete another one.
+  std::vector<std::shared_ptr<HttpExchange>> owners;
+  std::vector<std::function<void()>> callbacks;
+  for (Response& response : responses_) {
+    if (response.exchange != nullptr) {
+      owners.push_back(response.exchangeOwner.lock());
+      callbacks.push_back(response.exchange->Disconnect());
+    }
+  }
+  responses_.clear();
+  for (const auto& callback : callbacks) {
+    if (callback) {
+      callback();
+    }
+  }
+}
+
+void HttpServer::Connection::Detach()
+{
+  isDetached_ = true;
+  bufferevent_disable(socket_, EV_READ | EV_WRITE);
+  bufferevent_setcb(socket_, nullptr, nullptr, nullptr, nullptr);
+  CancelExchanges();
+}
+
+bool HttpServer::Connection::IsBusy() const
+{
+  return !responses_.empty() || closesWhenWritten_ || parser_.HasStarted();
+}
+
+bool HttpServer::Connection::IsExpired(TimePoint aNow) const
+{
+  if (!responses_.empty()) {
+    return false;
+  }
+  // A complete request waits until the client has read the responses before it.
+  if (!parser_.HasStarted() || parser_.IsComplete()) {
+    return aNow - lastActivity_ > server_.limits_.idleTimeout;
+  }
+  // A head has this time as a whole; a body may take longer as long as bytes arrive.
+  TimePoint since = parser_.HasHeaders() ? lastActivity_ : headBeganAt_;
+  return aNow - since > server_.limits_.headerTimeout;
+}
+
+} // namespace dandelion
--- a/src/wire/HttpMessageParser.cpp
+++ b/src/wire/HttpMessageParser.cpp
@@ -14,7 +14,7 @@
   http_parser_init(&parser_, side_ == HttpSide::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   parser_.data = this;
   isResponseToHead_ = aIsResponseToHead;
-  hasStarted_ = hasHeaders_ = isComplete_ = hasValue_ = false;
+  hasStarted_ = hasHeaders_ = isComplete_ = isBodilessRead_ = hasValue_ = false;
   keepsAlive_ = true;
   parseError_ = HttpParseError::None;
   headerBytes_ = bodyBytes_ = 0;
@@ -114,6 +114,10 @@
     parseError_ = HttpParseError::BodyTooLarge;
     return -1;
   }
+  bool isRead = parser_.method == HTTP_GET || parser_.method == HTTP_HEAD;
+  bool hasBody = (parser_.flags & F_CHUNKED) != 0 ||
+                 (parser_.content_length != 0 && parser_.content_length != ULLONG_MAX);
+  isBodilessRead_ = side_ == HttpSide::Request && isRead && !hasBody && parser_.upgrade == 0;
   constexpr int kNoBody = 1;
   return isResponseToHead_ ? kNoBody : 0;
 }
--- a/src/wire/HttpMessageParser.h
+++ b/src/wire/HttpMessageParser.h
@@ -48,6 +48,9 @@
   /// Whether the connection stays open after this message.
   bool KeepsAlive() const { return keepsAlive_; }
   bool ExpectsContinue() const;
+  /// Whether this is a GET or HEAD request without a body and without a change of the protocol.
+  /// Known once `HasHeaders`.
+  bool IsBodilessRead() const { return isBodilessRead_; }
 
   HttpRequest TakeRequest();
   HttpResponse TakeResponse();
@@ -70,6 +73,7 @@
   bool hasStarted_ = false;
   bool hasHeaders_ = false;
   bool isComplete_ = false;
+  bool isBodilessRead_ = false;
   bool keepsAlive_ = true;
   HttpParseError parseError_ = HttpParseError::None;
   size_t headerBytes_ = 0;
