Client accounts: keys select the sender of a call

The configuration's accounts were decoded nowhere, so every caller was anonymous. On a route that is not anonymous, a configuration with accounts demands a bearer key: a missing or unknown one ends the call with 401, not run and without Retry-After, after a node that is behind has caught up. The name of the account goes to the upstream in a reserved header, its priority takes the place of the policy's, and the key leaves the caller's node neither in a message nor in an error; the text that a JSON syntax error quotes is cut off for the same reason. The upstream's node refuses calls of an account that a newer configuration withdrew.

Fractional caps are rounded up, so that a cap below one call a second does not become no limit.

--- a/src/codec/JsonFields.cpp
+++ b/src/codec/JsonFields.cpp
@@ -69,7 +69,11 @@
   try {
     json = Json::parse(aText, onEvent, /*allow_exceptions=*/true, /*ignore_comments=*/true);
   } catch (const Json::exception& error) {
-    return MakeError(ErrorKind::InvalidNote, fmt::format("the text is not JSON: {}", error.what()));
+    // The library ends its message with the text that it read last, which may be a secret.
+    std::string_view message = error.what();
+    return MakeError(
+      ErrorKind::InvalidNote,
+      fmt::format("the text is not JSON: {}", message.substr(0, message.find("; last read"))));
   }
   if (isTooDeep) {
     return MakeError(
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -1,5 +1,7 @@
 #include "dandeliond/AdmissionService.h"
 
+#include "dandeliond/CallIdentity.h"
+
 #include <algorithm>
 
 namespace dandelion {
@@ -100,7 +102,8 @@
   if (aCall.service != context_.settings.service) {
     return ErrorKind::NoUpstream;
   }
-  if (IsWithdrawn(*releases_->Current(), aCall)) {
+  if (IsWithdrawn(*releases_->Current(), aCall) ||
+      IsSenderWithdrawn(*releases_->Current(), aCall)) {
     return ErrorKind::Withdrawn;
   }
   return std::nullopt;
@@ -138,6 +141,10 @@
   pending.startedAt = now;
   pending.call.deadlineMs = std::max<int64_t>(1, ToMilliseconds(pending.deadline - now));
   pending.call.upstreamId = upstreamState_->Id();
+  if (!releases_->Current()->accounts.empty()) {
+    // The caller's node may have had an older configuration without accounts, and kept the key.
+    RemoveKeyHeaders(pending.call.headers);
+  }
   metrics_->Observe(
     HistogramName::QueueTime, ClassLabel(pending.call.trafficClass), now - pending.arrivedAt);
   pending.request = upstream_->Send(pending.call, [this, aTicket](const UpstreamResult& aResult) {
--- a/src/dandeliond/CallInProgress.h
+++ b/src/dandeliond/CallInProgress.h
@@ -41,6 +41,8 @@
   Timer deadlineTimer;
   Timer catchUpTimer;
   Timer hedgeTimer;
+  /// The account that sent the call, from the configuration of `routes`; null for an anonymous one.
+  const AccountSpec* account = nullptr;
 };
 
 } // namespace dandelion
--- a/src/dandeliond/CallMessages.cpp
+++ b/src/dandeliond/CallMessages.cpp
@@ -1,5 +1,7 @@
 #include "dandeliond/CallMessages.h"
 
+#include "dandeliond/CallIdentity.h"
+
 #include <algorithm>
 
 namespace dandelion {
@@ -63,6 +65,7 @@
     }
   }
   openCall.priority = policy.priority;
+  AddSender(openCall, aCall);
   openCall.isIdempotent = IsIdempotent(aCall.request, policy);
   openCall.callerService = aCallerService;
   openCall.requestId = aCall.request.id;
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -1,5 +1,6 @@
 #include "dandeliond/CallsService.h"
 
+#include "dandeliond/CallIdentity.h"
 #include "dandeliond/CallMessages.h"
 
 #include <algorithm>
@@ -73,8 +74,10 @@
                        {} };
   CallerAnswer refusal;
   bool isResolved = Resolve(call, refusal);
-  // A newer version that this node knows of and has not applied yet may have the route.
-  bool mayBeInNewerVersion = refusal.error == ErrorKind::NoRoute && spreading_->IsBehind();
+  // A newer version that this node knows of and has not applied yet may have the route or the key.
+  bool isUnknown =
+    refusal.error == ErrorKind::NoRoute || refusal.error == ErrorKind::Unauthenticated;
+  bool mayBeInNewerVersion = isUnknown && spreading_->IsBehind();
   if (!isResolved && !mayBeInNewerVersion) {
     LogAnswer(call, refusal, releases_->Current()->version, context_.loop.Now());
     call.onAnswer(refusal);
@@ -132,7 +135,14 @@
                                        routes->SourceConfiguration().version));
     return false;
   }
-  // `route` points into `routes`, so either both are replaced or, on a refusal, neither is.
+  auto account = FindSender(*releases_->Accounts(), *route->route, aCall.request);
+  if (!account.ok()) {
+    aRefusal = MakeUnauthenticatedRefusal(account.status());
+    return false;
+  }
+  // `route` and `account` point into the configuration of `routes`, so either all of them are
+  // replaced or, on a refusal, none is.
+  aCall.account = *account;
   aCall.routes = std::move(routes);
   aCall.route = *route;
   std::vector<std::string> services = ServicesOf(*route->route);
@@ -387,7 +397,8 @@
   CallInProgress call = std::move(found->second);
   calls_.erase(found);
   CancelAttempts(call);
-  bool isShed = aAnswer.outcome == CallOutcome::NotRun && call.route.policy != nullptr;
+  bool isShed = aAnswer.outcome == CallOutcome::NotRun && call.route.policy != nullptr &&
+                aAnswer.error != ErrorKind::Unauthenticated;
   if (isShed) {
     Duration wait =
       choice_.ShortestQueueDelay(membership_->Table(), QueryFor(call), context_.loop.Now());
--- a/src/dandeliond/ReleaseServices.h
+++ b/src/dandeliond/ReleaseServices.h
@@ -21,6 +21,8 @@
   /// Routes of the current configuration. The table does not change, so a call that keeps it is
   /// routed by one version.
   virtual std::shared_ptr<const RouteTable> Routes() const = 0;
+  /// Accounts of the current configuration, the same one as that of `Routes`.
+  virtual std::shared_ptr<const AccountTable> Accounts() const = 0;
   /// Applies the entries that follow the current version; older ones are ignored. Returns the error
   /// of the first entry that cannot be applied.
   virtual absl::Status ApplyEntries(const std::vector<Entry>& aEntries) = 0;
--- a/src/dandeliond/ReleasesService.cpp
+++ b/src/dandeliond/ReleasesService.cpp
@@ -4,6 +4,7 @@
 
 ReleasesService::ReleasesService()
   : routes_(std::make_shared<RouteTable>(replica_.Current()))
+  , accounts_(std::make_shared<AccountTable>(replica_.Current()))
 {
 }
 
@@ -64,6 +65,7 @@
 void ReleasesService::Publish()
 {
   routes_ = std::make_shared<RouteTable>(replica_.Current());
+  accounts_ = std::make_shared<AccountTable>(replica_.Current());
   Log(LogPart::Releases, LogLevel::Info, "Version {} is in force.", Current()->version);
   for (const auto& listener : listeners_) {
     listener();
--- a/src/dandeliond/ReleasesService.h
+++ b/src/dandeliond/ReleasesService.h
@@ -16,6 +16,7 @@
   const ConfigurationPtr& Current() const override { return replica_.Current(); }
   const std::string& CurrentHash() const override { return replica_.CurrentHash(); }
   std::shared_ptr<const RouteTable> Routes() const override { return routes_; }
+  std::shared_ptr<const AccountTable> Accounts() const override { return accounts_; }
   absl::Status ApplyEntries(const std::vector<Entry>& aEntries) override;
   absl::Status ApplySnapshot(const Configuration& aConfiguration,
                              const std::string& aHash) override;
@@ -42,6 +43,7 @@
 
   Replica replica_;
   std::shared_ptr<const RouteTable> routes_;
+  std::shared_ptr<const AccountTable> accounts_;
   std::vector<std::function<void()>> listeners_;
 };
 
--- a/src/kernel/ErrorKind.cpp
+++ b/src/kernel/ErrorKind.cpp
@@ -24,6 +24,7 @@
   { ErrorKind::WrongHash, 500, absl::StatusCode::kDataLoss, false, 9 },
   { ErrorKind::BrokenMessage, 400, absl::StatusCode::kInvalidArgument, false, 9 },
   { ErrorKind::Forbidden, 403, absl::StatusCode::kPermissionDenied, false, 10 },
+  { ErrorKind::Unauthenticated, 401, absl::StatusCode::kUnauthenticated, false, 10 },
   { ErrorKind::StoreUnavailable, 503, absl::StatusCode::kUnavailable, true, 7 },
   { ErrorKind::StoreBehind, 503, absl::StatusCode::kFailedPrecondition, true, 7 },
   { ErrorKind::NotReady, 503, absl::StatusCode::kUnavailable, true, 7 },
--- a/src/platform/OperatorConfiguration.cpp
+++ b/src/platform/OperatorConfiguration.cpp
@@ -1,9 +1,13 @@
 #include "platform/OperatorConfiguration.h"
 
 #include "codec/Codec.h"
+#include "wire/Wire.h"
 
 #include "absl/strings/ascii.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace dandelion {
 
 namespace platform {
@@ -46,6 +50,17 @@
   int64_t priority = 1;
   std::string service;
   std::vector<SplitFields> split;
+  bool isAnonymous = false;
+};
+
+/// A client account. Its numbers may be fractional.
+struct AccountFields
+{
+  std::string name;
+  std::vector<std::string> keys;
+  std::optional<double> priority;
+  double ratePerS = 0;
+  double burst = 0;
 };
 
 struct ServiceFields
@@ -67,6 +82,7 @@
   int64_t version = 0;
   std::vector<RouteFields> routes;
   std::vector<ServiceFields> services;
+  std::vector<AccountFields> accounts;
   LimitFields limits;
 };
 
@@ -108,6 +124,17 @@
   aVisitor.OptionalField("priority", aRoute.priority, kAnyNonNegative);
   aVisitor.OptionalField("service", aRoute.service);
   aVisitor.OptionalField("split", aRoute.split);
+  aVisitor.OptionalField("anonymous", aRoute.isAnonymous);
+}
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, AccountFields& aAccount)
+{
+  aVisitor.Field("name", aAccount.name, kAnyText);
+  aVisitor.OptionalField("api-keys", aAccount.keys);
+  aVisitor.OptionalField("priority", aAccount.priority);
+  aVisitor.OptionalField("rate-per-s", aAccount.ratePerS);
+  aVisitor.OptionalField("burst", aAccount.burst);
 }
 
 template<class Visitor>
@@ -132,6 +159,7 @@
   aVisitor.Field("version", aFields.version, kAnyPositive);
   aVisitor.Field("routes", aFields.routes);
   aVisitor.Field("services", aFields.services);
+  aVisitor.OptionalField("tenants", aFields.accounts);
   aVisitor.OptionalField("limits", aFields.limits);
 }
 
@@ -198,11 +226,51 @@
   route.pathPrefix = aRoute.prefix;
   route.matching = PathMatching::Literal;
   route.policy = aPolicy;
+  route.isAnonymous = aRoute.isAnonymous;
   route.split = ToSplit(aRoute.split);
   route.service = aRoute.split.empty() ? aRoute.service : aRoute.split.front().service;
   return route;
 }
 
+/// Converts a number of a cap. It is rounded up, so that a fractional cap never becomes 0, which
+/// means no limit. A negative number stays negative, and the check of the configuration rejects it.
+int64_t ToCap(double aNumber)
+{
+  return static_cast<int64_t>(std::clamp(aNumber < 0 ? std::floor(aNumber) : std::ceil(aNumber),
+                                         -1.0,
+                                         static_cast<double>(kMaxRatePerS)));
+}
+
+absl::Status CheckAccountName(const std::string& aName)
+{
+  // The name is sent to upstreams in a header.
+  auto isVisible = [](char aCharacter) { return aCharacter >= ' ' && aCharacter < 0x7f; };
+  if (!aName.empty() && std::all_of(aName.begin(), aName.end(), isVisible)) {
+    return absl::OkStatus();
+  }
+  return MakeError(ErrorKind::InvalidNote,
+                   "a tenant has an empty name, or one with control or non-ASCII characters; "
+                   "give it a name of visible ASCII characters");
+}
+
+/// Makes an account. Keys are replaced by their digests; an empty key stays empty, and the check of
+/// the configuration rejects it.
+AccountSpec ToAccount(const AccountFields& aAccount)
+{
+  AccountSpec account;
+  account.name = aAccount.name;
+  for (const std::string& key : aAccount.keys) {
+    account.keyDigests.push_back(key.empty() ? "" : DigestOfKey(key));
+  }
+  if (aAccount.priority.has_value()) {
+    account.priority = static_cast<int64_t>(
+      std::clamp(std::floor(*aAccount.priority), -1.0, static_cast<double>(kLowestPriority)));
+  }
+  account.ratePerS = ToCap(aAccount.ratePerS);
+  account.burst = ToCap(aAccount.burst);
+  return account;
+}
+
 absl::Status CheckPrefix(const RouteFields& aRoute)
 {
   bool isDelimited = aRoute.prefix.front() == '/' && aRoute.prefix.back() == '/';
@@ -253,6 +321,15 @@
     }
     configuration.policies.emplace(policy.name, Versioned<PolicySpec>{ policy, 0 });
   }
+  for (const AccountFields& account : aFields.accounts) {
+    absl::Status status = CheckAccountName(account.name);
+    if (status.ok()) {
+      status = Insert(configuration.accounts, ToAccount(account));
+    }
+    if (!status.ok()) {
+      return status;
+    }
+  }
   configuration.limits = CallerLimits{ aFields.limits.headerBytes,
                                        aFields.limits.bodyBytes,
                                        std::min(aFields.limits.headerTimeoutMs, kMaxTimeoutMs),
--- a/src/platform/ProtocolNames.cpp
+++ b/src/platform/ProtocolNames.cpp
@@ -9,6 +9,7 @@
   headerNames.requestId = "Dandelionvale-Request-Id";
   headerNames.targetUpstream = "Dandelionvale-Target-Instance";
   headerNames.callerService = "Dandelionvale-Caller-Service";
+  headerNames.account = "Dandelionvale-Tenant";
   headerNames.refusal = "Dandelionvale-Not-Executed";
   headerNames.refusalValue = "";
   headerNames.answerSignature = "Dandelionvale-Server-Signature";
--- a/src/release/Apply.cpp
+++ b/src/release/Apply.cpp
@@ -58,12 +58,15 @@
   aSpecs("add", aNote.add.services);
   aSpecs("add", aNote.add.policies);
   aSpecs("add", aNote.add.routes);
+  aSpecs("add", aNote.add.accounts);
   aSpecs("change", aNote.change.services);
   aSpecs("change", aNote.change.policies);
   aSpecs("change", aNote.change.routes);
+  aSpecs("change", aNote.change.accounts);
   aNames(ObjectKind::Service, aNote.withdraw.services);
   aNames(ObjectKind::Policy, aNote.withdraw.policies);
   aNames(ObjectKind::Route, aNote.withdraw.routes);
+  aNames(ObjectKind::Account, aNote.withdraw.accounts);
 }
 
 void CheckListedOnce(ValidationErrors& aErrors,
@@ -299,12 +302,15 @@
   applier.Withdraw(result.services, aNote.withdraw.services);
   applier.Withdraw(result.policies, aNote.withdraw.policies);
   applier.Withdraw(result.routes, aNote.withdraw.routes);
+  applier.Withdraw(result.accounts, aNote.withdraw.accounts);
   applier.Change(result.services, aNote.change.services);
   applier.Change(result.policies, aNote.change.policies);
   applier.Change(result.routes, aNote.change.routes);
+  applier.Change(result.accounts, aNote.change.accounts);
   applier.Add(result.services, aNote.add.services);
   applier.Add(result.policies, aNote.add.policies);
   applier.Add(result.routes, aNote.add.routes);
+  applier.Add(result.accounts, aNote.add.accounts);
   CheckWithdrawnNotReferenced(applier.Errors(), result, aNote.withdraw);
   if (applier.Errors().HasErrors()) {
     return applier.Errors().ToStatus();
--- a/src/release/Configuration.cpp
+++ b/src/release/Configuration.cpp
@@ -1,5 +1,6 @@
 #include "release/Configuration.h"
 
+#include "release/AccountChecks.h"
 #include "release/ValidationErrors.h"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 constexpr size_t kMaxServices = 1024;
 constexpr size_t kMaxPolicies = 512;
 constexpr size_t kMaxRoutes = 8192;
+constexpr size_t kMaxAccounts = 4096;
+constexpr size_t kMaxAccountKeys = 16384;
 
 void CheckCount(ValidationErrors& aErrors, std::string_view aKind, size_t aCount, size_t aMax)
 {
@@ -90,6 +93,8 @@
   CheckCount(errors, "service", aConfiguration.services.size(), kMaxServices);
   CheckCount(errors, "policy", aConfiguration.policies.size(), kMaxPolicies);
   CheckCount(errors, "route", aConfiguration.routes.size(), kMaxRoutes);
+  CheckCount(errors, "account", aConfiguration.accounts.size(), kMaxAccounts);
+  CheckCount(errors, "account key", CountKeys(aConfiguration), kMaxAccountKeys);
   return errors.ToStatus();
 }
 
@@ -98,6 +103,7 @@
   ValidationErrors errors;
   CheckReferences(errors, aConfiguration);
   CheckPrefixesAreUnique(errors, aConfiguration);
+  CheckAccounts(errors, aConfiguration);
   return errors.ToStatus();
 }
 
--- a/src/release/ConfigurationDelta.cpp
+++ b/src/release/ConfigurationDelta.cpp
@@ -52,6 +52,7 @@
   CollectChanges(aParent.services, aResult.services, delta.services, delta.removed.services);
   CollectChanges(aParent.policies, aResult.policies, delta.policies, delta.removed.policies);
   CollectChanges(aParent.routes, aResult.routes, delta.routes, delta.removed.routes);
+  CollectChanges(aParent.accounts, aResult.accounts, delta.accounts, delta.removed.accounts);
   return delta;
 }
 
@@ -80,6 +81,7 @@
   ApplyChanges(result.services, aDelta.services, aDelta.removed.services);
   ApplyChanges(result.policies, aDelta.policies, aDelta.removed.policies);
   ApplyChanges(result.routes, aDelta.routes, aDelta.removed.routes);
+  ApplyChanges(result.accounts, aDelta.accounts, aDelta.removed.accounts);
   return result;
 }
 
--- a/src/release/Objects.h
+++ b/src/release/Objects.h
@@ -61,6 +61,10 @@
 constexpr int64_t kMaxAttempts = 5;
 constexpr int64_t kLowestPriority = 100;
 constexpr int64_t kMaxWeight = 1000000;
+/// Highest cap and burst of an account.
+constexpr int64_t kMaxRatePerS = 1000000000;
+/// Length of a key digest: SHA-256 in hexadecimal digits.
+constexpr size_t kKeyDigestDigits = 64;
 
 /// A set of upstreams that serve the same calls.
 struct ServiceSpec
@@ -146,7 +150,7 @@
 {
   static constexpr ObjectKind kKind = ObjectKind::Account;
   std::string name;
-  /// Digests of its API keys; the keys themselves are not kept.
+  /// SHA-256 digests of its API keys in lower-case hexadecimal digits; the keys themselves are not kept.
   std::vector<std::string> keyDigests;
   /// Priority of its calls in place of the policy's; 0 is the highest.
   std::optional<int64_t> priority;
--- a/src/wire/CallHeaders.cpp
+++ b/src/wire/CallHeaders.cpp
@@ -87,7 +87,8 @@
 bool CallHeaderNames::IsReserved(std::string_view aName) const
 {
   absl::string_view name(aName.data(), aName.size());
-  for (const std::string* reserved : { &deadline, &targetUpstream, &callerService, &refusal }) {
+  for (const std::string* reserved :
+       { &deadline, &targetUpstream, &callerService, &account, &refusal }) {
     if (absl::EqualsIgnoreCase(name, *reserved)) {
       return true;
     }
--- a/src/wire/CallHeaders.h
+++ b/src/wire/CallHeaders.h
@@ -21,6 +21,8 @@
 constexpr char kDeadlineHeader[] = "dandelion-deadline-ms";
 constexpr char kClassHeader[] = "dandelion-class";
 constexpr char kRetriesLeftHeader[] = "dandelion-repeats-left";
+/// Request header to an upstream: name of the client account that sent the call.
+constexpr char kAccountHeader[] = "dandelion-account";
 
 /// Header names that callers and upstreams of a platform use in place of the default ones. A header
 /// whose name is empty is neither read nor sent, except for `deadline`, which is always sent and
@@ -35,6 +37,8 @@
   std::string targetUpstream = {};
   /// Request header to an upstream: service of the node that accepted the call from its caller.
   std::string callerService = {};
+  /// Request header to an upstream: name of the client account that sent the call.
+  std::string account = kAccountHeader;
   /// Response header of an upstream that refused the call before it started any work, and the value
   /// that marks the refusal. If `refusalValue` is empty, any non-empty value marks it.
   std::string refusal = kOutcomeHeader;
--- a/src/wire/HttpUpstream.cpp
+++ b/src/wire/HttpUpstream.cpp
@@ -49,6 +49,9 @@
   if (!aHeaderNames.callerService.empty() && !aCall.callerService.empty()) {
     request.headers.emplace_back(aHeaderNames.callerService, aCall.callerService);
   }
+  if (!aHeaderNames.account.empty() && !aCall.account.empty()) {
+    request.headers.emplace_back(aHeaderNames.account, aCall.account);
+  }
   return request;
 }
 
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -2,6 +2,7 @@
 #ifndef DANDELION_WIRE_WIRE_H
 #define DANDELION_WIRE_WIRE_H
 
+#include "wire/AccountKeys.h"
 #include "wire/CallHeaders.h"
 #include "wire/Datagrams.h"
 #include "wire/EtcdStore.h"
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -61,6 +61,7 @@
   {
     current_ = std::make_shared<Configuration>(aConfiguration);
     routes_ = std::make_shared<RouteTable>(current_);
+    accounts_ = std::make_shared<AccountTable>(current_);
     for (const auto& listener : listeners_) {
       listener();
     }
@@ -69,6 +70,7 @@
   const ConfigurationPtr& Current() const override { return current_; }
   const std::string& CurrentHash() const override { return hash_; }
   std::shared_ptr<const RouteTable> Routes() const override { return routes_; }
+  std::shared_ptr<const AccountTable> Accounts() const override { return accounts_; }
   absl::Status ApplyEntries(const std::vector<Entry>& /* aEntries */) override
   {
     return absl::OkStatus();
@@ -98,6 +100,7 @@
 private:
   ConfigurationPtr current_;
   std::shared_ptr<const RouteTable> routes_;
+  std::shared_ptr<const AccountTable> accounts_;
   std::string hash_;
   std::vector<std::function<void()>> listeners_;
 };
