--- a/test/property/ConfigurationDeltas.cpp
+++ b/test/property/ConfigurationDeltas.cpp
@@ -22,6 +22,14 @@
     configuration.policies[policy.name] = { policy, 0 };
     configuration.routes[name] = { RouteSpec{ name, "/" + name + "/", "s", policy.name }, 0 };
   }
+  int accounts = *rc::gen::inRange(0, 4);
+  for (int i = 0; i < accounts; ++i) {
+    AccountSpec account;
+    account.name = fmt::format("c{}", *rc::gen::inRange(0, 5));
+    account.keyDigests = { std::string(kKeyDigestDigits, account.name[1]) };
+    account.ratePerS = *rc::gen::inRange<int64_t>(0, 3);
+    configuration.accounts[account.name] = { account, 0 };
+  }
   configuration.limits.idleTimeoutMs = *rc::gen::inRange<int64_t>(1, 9);
   return configuration;
 }
