Accounts share the slots of an upstream fairly

An account that sent many times its usual rate filled the queue of an upstream, and the calls of the others were refused on arrival. Calls without an account count as one for each caller service; while no call of an account waits, the order is as before.

--- a/src/accounts/Accounts.h
+++ b/src/accounts/Accounts.h
@@ -5,5 +5,6 @@
 
 #include "accounts/AccountTable.h"
 #include "accounts/CapMessages.h"
+#include "accounts/FairRoom.h"
 
 #endif
--- a/src/admission/AdmissionEvents.h
+++ b/src/admission/AdmissionEvents.h
@@ -28,6 +28,10 @@
   CostClass costClass = {};
   /// `TargetQueue` refuses the call on arrival if its expected queue delay exceeds this.
   Duration maxQueueDelay = Duration::max();
+  /// Client account that sent the call; empty if there is none.
+  std::string account = {};
+  /// Service of the node that accepted the call.
+  std::string callerService = {};
 };
 struct CallFinished
 {
--- a/src/admission/TargetQueue.cpp
+++ b/src/admission/TargetQueue.cpp
@@ -54,9 +54,7 @@
     Run(aEffects, aCall, aNow);
     return;
   }
-  bool isCheap = IsCheap(aCall.costClass, aNow);
-  TimePoint start =
-    aNow + ExpectedQueueDelay(isCheap ? TimePoint::min() : LatestStart(aCall, aNow), aNow);
+  TimePoint start = aNow + ExpectedQueueDelayOf(aCall, aNow);
   TimePoint end = start + ExpectedServiceTime(aCall.costClass, aNow) + kReplyDelay;
   if (start - aNow > aCall.maxQueueDelay || end > LatestUsefulEnd(aCall, aNow)) {
     aEffects.push_back(RefuseCall{ aCall.call, ErrorKind::Overloaded });
@@ -77,6 +75,8 @@
     double change = kSampleWeight * static_cast<double>((elapsed - known->second).count());
     known->second += Duration(static_cast<int64_t>(isNew ? 0 : change));
   }
+  const RunningCall& call = found->second;
+  accounts_.OnFinished(call.sharer, call.expected, aNow - call.startedAt);
   running_.erase(found);
 }
 
@@ -101,6 +101,22 @@
       return isLateA ? aA.deadline < aB.deadline : LatestStart(aA, aNow) < LatestStart(aB, aNow);
     };
     auto first = std::min_element(waiting_.begin(), waiting_.end(), comesFirst);
+    if (AccountOrder::AppliesTo(waiting_)) {
+      auto isOfSameKind = [&, chosen = *first](const CallArrived& aCall) {
+        return aCall.priority == chosen.priority && isLate(aCall) == isLate(chosen) &&
+               IsCheap(aCall.costClass, aNow) == IsCheap(chosen.costClass, aNow);
+      };
+      first = std::min_element(
+        waiting_.begin(), waiting_.end(), [&](const CallArrived& aA, const CallArrived& aB) {
+          bool isA = isOfSameKind(aA);
+          if (isA != isOfSameKind(aB)) {
+            return isA;
+          }
+          Duration tagA = accounts_.NextTag(aA);
+          Duration tagB = accounts_.NextTag(aB);
+          return tagA != tagB ? tagA < tagB : comesFirst(aA, aB);
+        });
+    }
     CallArrived next = std::move(*first);
     waiting_.erase(first);
     if (aNow + kReplyDelay >= next.deadline) {
@@ -113,7 +129,10 @@
 
 void TargetQueue::Run(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow)
 {
-  running_[aCall.call] = RunningCall{ aCall.costClass, aNow };
+  Duration expected = ExpectedServiceTime(aCall.costClass, aNow);
+  SlotSharer sharer = SharerOf(aCall);
+  accounts_.OnStarted(sharer, expected);
+  running_[aCall.call] = RunningCall{ aCall.costClass, aNow, std::move(sharer), expected };
   aEffects.push_back(RunCall{ aCall.call });
 }
 
@@ -209,6 +228,34 @@
   return ahead / slots_;
 }
 
+Duration TargetQueue::ExpectedQueueDelayOf(const CallArrived& aCall, TimePoint aNow) const
+{
+  if (IsCheap(aCall.costClass, aNow)) {
+    return ExpectedQueueDelay(TimePoint::min(), aNow);
+  }
+  TimePoint latestStart = LatestStart(aCall, aNow);
+  if (slots_ <= 0 || (aCall.account.empty() && !AccountOrder::AppliesTo(waiting_))) {
+    return ExpectedQueueDelay(latestStart, aNow);
+  }
+  auto cost = [&](const CallArrived& aOther) {
+    return ExpectedServiceTime(aOther.costClass, aNow);
+  };
+  auto goesBefore = [&](const CallArrived& aOther) {
+    return LatestStart(aOther, aNow) <= latestStart;
+  };
+  Duration ahead = RemainingServiceTime(aNow) / 2;
+  std::vector<const CallArrived*> peers;
+  for (const CallArrived& call : waiting_) {
+    bool isCheap = IsCheap(call.costClass, aNow);
+    if (!isCheap && call.priority == aCall.priority) {
+      peers.push_back(&call);
+    } else if (isCheap || goesBefore(call)) {
+      ahead += cost(call);
+    }
+  }
+  return (ahead + accounts_.TimeAhead(aCall, peers, cost, goesBefore)) / slots_;
+}
+
 bool TargetQueue::IsCheap(const CostClass& aCostClass, TimePoint aNow) const
 {
   // Only other cost classes count: when cheap calls fill the slots, they stay cheap.
--- a/src/admission/TargetQueue.h
+++ b/src/admission/TargetQueue.h
@@ -6,6 +6,10 @@
 /// usually a call that holds a slot of another upstream waits for the cheap call and would fail
 /// with it.
 ///
+/// Calls of client accounts of the same priority share the slots fairly: the order above decides of
+/// which kind the next call is, and `AccountOrder` of which account. Without accounts it has no
+/// effect.
+///
 /// A call that cannot meet its target behind the calls that go before it, or would wait longer than
 /// its `maxQueueDelay`, is refused on arrival, so that its caller can retry at another upstream in
 /// time. A call that can no longer meet its target after waiting runs only when no waiting call can
@@ -13,6 +17,7 @@
 #ifndef DANDELION_ADMISSION_TARGET_QUEUE_H
 #define DANDELION_ADMISSION_TARGET_QUEUE_H
 
+#include "admission/AccountOrder.h"
 #include "admission/AdmissionEvents.h"
 
 #include <map>
@@ -49,12 +54,16 @@
   {
     CostClass costClass;
     TimePoint startedAt;
+    SlotSharer sharer;
+    Duration expected;
   };
 
   void OnArrived(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow);
   void OnFinished(const CallFinished& aCall, TimePoint aNow);
   void FillSlots(AdmissionEffects& aEffects, TimePoint aNow);
   void Run(AdmissionEffects& aEffects, const CallArrived& aCall, TimePoint aNow);
+  /// Expected time until an arriving call gets a slot.
+  Duration ExpectedQueueDelayOf(const CallArrived& aCall, TimePoint aNow) const;
   /// Expected time in a slot.
   Duration ExpectedServiceTime(const CostClass& aCostClass, TimePoint aNow) const;
   /// Whether the expected service time of a cost class is small beside that of the running calls of
@@ -75,6 +84,7 @@
   int64_t slots_;
   bool isClosed_ = false;
   std::vector<CallArrived> waiting_;
+  AccountOrder accounts_;
   std::map<CallKey, RunningCall> running_;
   std::map<CostClass, Duration> serviceTimes_;
 };
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -86,6 +86,8 @@
     }
     CallArrived arrived{ ticket,         aCall.trafficClass, deadline,     target,
                          aCall.priority, aCall.policy,       maxQueueDelay };
+    arrived.account = aCall.account;
+    arrived.callerService = aCall.callerService;
     Execute(queue_.Handle(arrived, now));
   }
   return ticket;
