Usage caps: pool tokens at owners in each region

An account's cap holds over all nodes together, while its clients may use any of them. CapClient delegates a node's share of each cap to an owner in its region for a term; CapPool adds up the shares, keeps one token bucket for each account and lends idle tokens to the owner of the other region. CapMembers counts the members that have a share.

--- a/src/accounts/Accounts.h
+++ b/src/accounts/Accounts.h
@@ -4,7 +4,11 @@
 #define DANDELION_ACCOUNTS_ACCOUNTS_H
 
 #include "accounts/AccountTable.h"
+#include "accounts/CapClient.h"
+#include "accounts/CapMembers.h"
 #include "accounts/CapMessages.h"
+#include "accounts/CapPool.h"
+#include "accounts/CapShards.h"
 #include "accounts/FairRoom.h"
 
 #endif
--- a/src/accounts/CapMessages.h
+++ b/src/accounts/CapMessages.h
@@ -12,16 +12,28 @@
 struct TokensWanted
 {
   std::string account;
+  /// Tokens for calls that wait for them.
   int64_t tokens = 0;
+  /// Tokens that the sender would keep in stock, or lend to its region. They are granted only from
+  /// the upper part of the account's bucket, so that they take nothing from waiting calls.
+  int64_t spare = 0;
 };
 
-/// Delegates the sender's shares of the caps to the receiver and asks for tokens.
+/// Delegates the sender's shares of the caps of one shard to the receiver and asks for tokens.
 struct TokenRequest
 {
   uint64_t id = 0;
+  /// Id of the sending member.
+  std::string sender;
+  int64_t shard = 0;
+  /// The delegated share is one over this number. 0 if the request delegates nothing.
+  int64_t members = 0;
+  /// Length of the delegation. It begins at `echoUs`.
+  int64_t termMs = 0;
   std::vector<TokensWanted> wanted;
+  /// Sent by the owner of another region.
+  bool isLoan = false;
   /// `TokenGrant::clockUs` of the last grant that the sender received from this owner; 0 if none.
-  /// The delegation ends one term after that reading of the owner's clock.
   int64_t echoUs = 0;
 };
 
@@ -37,7 +49,8 @@
 {
   uint64_t id = 0;
   std::vector<TokensGranted> granted;
-  /// The owner's steady clock in microseconds.
+  /// The owner's steady clock in microseconds, plus a number that it chose at its start, so that
+  /// readings of an earlier process in the slot are not taken for its own.
   int64_t clockUs = 0;
 };
 
@@ -46,13 +59,19 @@
 {
   aVisitor.Field("account", aWanted.account);
   aVisitor.Field("tokens", aWanted.tokens);
+  aVisitor.Field("spare", aWanted.spare);
 }
 
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, TokenRequest& aRequest)
 {
   aVisitor.Field("id", aRequest.id);
+  aVisitor.Field("sender", aRequest.sender);
+  aVisitor.Field("shard", aRequest.shard);
+  aVisitor.Field("members", aRequest.members);
+  aVisitor.Field("term_ms", aRequest.termMs);
   aVisitor.Field("wanted", aRequest.wanted);
+  aVisitor.Field("loan", aRequest.isLoan);
   aVisitor.Field("echo_us", aRequest.echoUs);
 }
 
