--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -56,12 +56,18 @@
   double burst = 10;
 };
 
+constexpr int64_t kMaxMemoryMb = 1024 * 1024;
+constexpr int64_t kMaxDescriptors = 1024 * 1024;
+
 /// Capacity of the machine that the node runs on.
 struct MachineSettings
 {
   /// Processor time as a share of one core.
   double cpuShare = 1;
   double linkMbps = 1000;
+  /// Memory of the machine in MiB and its limit of open descriptors; 0 sets no limit here.
+  int64_t memoryMb = 0;
+  int64_t maxFds = 0;
 };
 
 struct StoreSettings
@@ -152,6 +158,8 @@
 {
   aVisitor.OptionalField("cpu_share", aSettings.cpuShare);
   aVisitor.OptionalField("link_mbps", aSettings.linkMbps);
+  aVisitor.OptionalField("memory_mb", aSettings.memoryMb, IntegerRange{ 0, kMaxMemoryMb });
+  aVisitor.OptionalField("max_fds", aSettings.maxFds, IntegerRange{ 0, kMaxDescriptors });
 }
 
 template<class Visitor>
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -190,6 +190,9 @@
                          { "operators", Json::array({ shape_.operatorKey }) } };
   }
   settings.update(Json::parse(shape_.extraSettings));
+  if (extraSettingsOf_) {
+    settings.update(extraSettingsOf_(aNode));
+  }
   if (aHasSeeds) {
     Json seeds = Json::array();
     for (int other = 0; other < shape_.nodes; ++other) {
--- a/test/support/Cluster.h
+++ b/test/support/Cluster.h
@@ -52,6 +52,12 @@
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
 
+  /// Settings of each node that replace those of the shape; called before `Start`.
+  void SetExtraSettings(std::function<Json(int)> aSettingsOf)
+  {
+    extraSettingsOf_ = std::move(aSettingsOf);
+  }
+
   /// Starts all processes and waits up to 60 s until every node sees all nodes as alive.
   void Start();
 
@@ -148,6 +154,7 @@
   static void KillAndReap(pid_t& aPid, int aSignal);
 
   ClusterShape shape_;
+  std::function<Json(int)> extraSettingsOf_;
   std::string addressPrefix_;
   std::string folder_;
   std::string build_;
