Decisions of version rollouts: plan, verdict, gate and judge

Cause: the specification of rollouts bounds the calls of a bad version, and nothing decided about versions yet. Change: src/versions decides without I/O. RolloutJudge merges counts by maximum, allows calls in bursts within the plan, and advances the stage only as the store has it, except for a verdict of bad. The report also carries the calls that were allowed and the highest stage learned, so that judges count each other's permits and share a verdict while the store is down. Tests: a service in virtual time, test/property/RolloutsStayWithinBounds.cpp, over five faults, both versions bad, lost and repeated messages, two judges, a store that is down, a restart of all nodes.

--- a/src/versions/Rollout.h
+++ b/src/versions/Rollout.h
@@ -5,6 +5,7 @@
 #include "kernel/Kernel.h"
 
 #include <string>
+#include <vector>
 
 namespace dandelion {
 
@@ -45,6 +46,57 @@
   int64_t revision = 0;
 };
 
+/// Bounds of the calls that a bad version may get.
+struct RolloutBounds
+{
+  /// Share of the calls that reach the service between the order and its deadline, and a number of
+  /// calls beyond that share.
+  double exposeShare = 0.1;
+  int64_t exposeSlack = 50;
+  /// Longest time from the 50th bad answer until the last call is sent to the version.
+  Duration rollback = seconds(5);
+};
+
+/// Calls that one upstream of the target version has had, kept so that a restart of its node or of
+/// the judges does not lose them.
+struct ExposedCalls
+{
+  std::string sender;
+  uint64_t incarnation = 0;
+  int64_t calls = 0;
+};
+
+/// Progress of an order as the store keeps it.
+struct RolloutRecord
+{
+  int64_t orderRevision = 0;
+  std::string targetVersion;
+  RolloutStage stage = RolloutStage::Canary;
+  /// Time since the order was first seen by the judge that wrote the record.
+  int64_t elapsedMs = 0;
+  std::string reason;
+  std::vector<ExposedCalls> exposed;
+};
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, ExposedCalls& aCalls)
+{
+  aVisitor.Field("sender", aCalls.sender);
+  aVisitor.Field("incarnation", aCalls.incarnation);
+  aVisitor.Field("calls", aCalls.calls);
+}
+
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, RolloutRecord& aRecord)
+{
+  aVisitor.Field("order", aRecord.orderRevision);
+  aVisitor.Field("target", aRecord.targetVersion);
+  aVisitor.Field("stage", aRecord.stage);
+  aVisitor.Field("elapsed_ms", aRecord.elapsedMs);
+  aVisitor.Field("reason", aRecord.reason);
+  aVisitor.Field("exposed", aRecord.exposed);
+}
+
 } // namespace dandelion
 
 #endif
--- a/src/versions/RolloutMessages.h
+++ b/src/versions/RolloutMessages.h
@@ -14,9 +14,11 @@
 struct VersionCounts
 {
   std::string policy;
+  /// Calls that were sent to the upstream.
   int64_t calls = 0;
   int64_t failures = 0;
-  /// Number of answers by service time; bucket i holds times below 2^i ms.
+  /// Number of answers after the upstream's warm-up by service time; bucket i holds times below
+  /// 2^i ms.
   std::vector<int64_t> serviceTimes;
 };
 
@@ -31,9 +33,16 @@
   int64_t slots = 0;
   int64_t running = 0;
   std::vector<VersionCounts> counts;
+  /// Calls in all that permits have allowed the version at this node; judges count them as spent.
+  int64_t maxCalls = 0;
+  /// The order and the highest stage that the node has learned, so that every judge learns a
+  /// verdict of the others while the store is down.
+  int64_t orderRevision = 0;
+  RolloutStage stage = RolloutStage::Canary;
 };
 
-/// What the node beside an upstream may admit while an order is in progress.
+/// What the node beside an upstream may admit while an order is in progress. Order revision 0 says
+/// that no order names the service.
 struct RolloutPermit
 {
   std::string service;
@@ -43,7 +52,8 @@
   bool isOpen = false;
   /// Calls that the upstream may have admitted in all since its node started; -1 for no limit.
   int64_t maxCalls = 0;
-  /// Age of the confirmation of the stage by the store.
+  /// Age of the newest view of the store that the sender has; -1 for a verdict that the store does
+  /// not hold yet.
   int64_t ageMs = 0;
 };
 
@@ -67,6 +77,9 @@
   aVisitor.Field("slots", aReport.slots);
   aVisitor.Field("running", aReport.running);
   aVisitor.Field("counts", aReport.counts);
+  aVisitor.Field("max_calls", aReport.maxCalls);
+  aVisitor.Field("order", aReport.orderRevision);
+  aVisitor.Field("stage", aReport.stage);
 }
 
 template<class Visitor>
--- a/src/versions/Versions.h
+++ b/src/versions/Versions.h
@@ -4,6 +4,11 @@
 #define DANDELION_VERSIONS_VERSIONS_H
 
 #include "versions/Rollout.h"
+#include "versions/RolloutJudge.h"
 #include "versions/RolloutMessages.h"
+#include "versions/RolloutPlan.h"
+#include "versions/UpstreamCounts.h"
+#include "versions/VersionGate.h"
+#include "versions/VersionVerdict.h"
 
 #endif
