Rollouts service: gate, reports, and judges that read orders

Cause: the decisions of src/versions had no way to the upstream, to other nodes or to the store. Change: the service Rollouts, registered only with the new setting `rollouts`, holds the gate behind UpstreamState::Slots, so that admission and the member record see it, counts calls by version and policy, and judges orders on the first three nodes that follow the store. Orders come with the watch of the configuration, which then watches the operators' common prefix, and with one range read when a watch begins after a gap. Store::Swap writes the record and the operators' status in one transaction on condition of the record's revision. Reports of upstreams may name `version` and `warmup-left`. The whole test programs were not linked or run.

--- a/src/admission/UpstreamTracker.cpp
+++ b/src/admission/UpstreamTracker.cpp
@@ -1,5 +1,6 @@
 #include "admission/UpstreamTracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dandelion {
@@ -11,6 +12,9 @@
 /// After a failed health check the upstream counts as ready once a report "ready" arrives this long
 /// after the first one. Delayed reports of an upstream that has left do not arrive so far apart.
 constexpr Duration kReadyConfirmationTime = milliseconds(800);
+/// Versions may turn bad 3 s after the start of their upstream. Its first report may be sent
+/// before.
+constexpr Duration kMinWarmupTime = milliseconds(3500);
 
 } // namespace
 
@@ -55,8 +59,14 @@
     return ReportVerdict::Stale;
   }
   bool acceptedWork = AcceptsWork();
-  bool isSame = IsSameIncarnation(aReport) && condition_ == aReport.condition &&
-                (isGone || slots_ == aReport.slots);
+  bool isSame =
+    IsSameIncarnation(aReport) && condition_ == aReport.condition &&
+    (isGone || (slots_ == aReport.slots && softwareVersion_ == aReport.softwareVersion));
+  if (!isGone) {
+    bool isFirst = !IsSameIncarnation(aReport) || !softwareVersion_.has_value();
+    warmAt_ = std::max(isFirst ? aNow + kMinWarmupTime : warmAt_, aNow + aReport.warmupLeft);
+    softwareVersion_ = aReport.softwareVersion;
+  }
   if (isUnhealthy_ && aReport.condition == UpstreamCondition::Ready) {
     if (!firstReadyAfterUnhealthy_.has_value()) {
       firstReadyAfterUnhealthy_ = aNow;
--- a/src/admission/UpstreamTracker.h
+++ b/src/admission/UpstreamTracker.h
@@ -40,6 +40,10 @@
   std::optional<int64_t> startTimeMs;
   /// Calls that it can run at the same time.
   int64_t slots = 1;
+  /// Software version; empty if the upstream names none.
+  std::string softwareVersion = {};
+  /// Time until the upstream has warmed up.
+  Duration warmupLeft = Duration::zero();
 };
 
 /// Result of the upstream's health check.
@@ -88,6 +92,10 @@
   const std::string& Id() const { return id_; }
   /// Calls that the upstream can run at the same time; 0 while it accepts no work.
   int64_t Slots() const { return AcceptsWork() ? slots_ : 0; }
+  /// Software version in the latest report; nothing before the first one.
+  const std::optional<std::string>& SoftwareVersion() const { return softwareVersion_; }
+  /// Whether the incarnation may still be slower than later, or may not have shown all its faults.
+  bool IsWarmingUp(TimePoint aNow) const { return aNow < warmAt_; }
 
 private:
   bool IsStale(const UpstreamReport& aReport) const;
@@ -99,6 +107,8 @@
   int64_t sequence_ = -1;
   int64_t slots_ = 1;
   std::optional<UpstreamCondition> condition_;
+  std::optional<std::string> softwareVersion_;
+  TimePoint warmAt_;
   /// When the first report "ready" arrived after a failed health check. That report may have been
   /// delayed since before the upstream left, so a second one is required.
   std::optional<TimePoint> firstReadyAfterUnhealthy_;
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -108,9 +108,20 @@
       IsSenderWithdrawn(*releases_->Current(), aCall)) {
     return ErrorKind::Withdrawn;
   }
+  if (IsGateClosed()) {
+    // The same reason that a closed queue gives. Calls that got their slots together with the last
+    // one allowed are refused here.
+    return ErrorKind::Leaving;
+  }
   return std::nullopt;
 }
 
+bool AdmissionService::IsGateClosed() const
+{
+  const UpstreamGate* gate = upstreamState_->Gate();
+  return gate != nullptr && !gate->IsOpen();
+}
+
 void AdmissionService::Execute(const AdmissionEffects& aEffects)
 {
   for (const AdmissionEffect& effect : aEffects) {
@@ -147,6 +158,9 @@
     // The caller's node may have had an older configuration without accounts, and kept the key.
     RemoveKeyHeaders(pending.call.headers);
   }
+  if (UpstreamGate* gate = upstreamState_->Gate(); gate != nullptr) {
+    pending.upstreamVersion = gate->OnCallStarted(pending.call.policy);
+  }
   metrics_->Observe(
     HistogramName::QueueTime, ClassLabel(pending.call.trafficClass), now - pending.arrivedAt);
   pending.request = upstream_->Send(pending.call, [this, aTicket](const UpstreamResult& aResult) {
@@ -183,8 +197,14 @@
   if (aResult.outcome != CallOutcome::Ran && pending != pending_.end()) {
     LogOutcome(pending->second, aResult);
   }
-  // Frees the slot first, so that the queue estimate in the reply counts it as free.
   constexpr int64_t kFirstServerError = 500;
+  UpstreamGate* gate = upstreamState_->Gate();
+  if (gate != nullptr && pending != pending_.end()) {
+    bool isBad = aResult.outcome != CallOutcome::Ran || aResult.status >= kFirstServerError;
+    const PendingCall& call = pending->second;
+    gate->OnCallEnded(call.upstreamVersion, call.call.policy, call.startedAt, isBad);
+  }
+  // Frees the slot first, so that the queue estimate in the reply counts it as free.
   bool hasFailed = aResult.outcome == CallOutcome::NotRun ||
                    (aResult.outcome == CallOutcome::Ran && aResult.status >= kFirstServerError);
   AdmissionEffects effects =
@@ -252,6 +272,9 @@
   if (found->second.request.has_value()) {
     // Closes the connection to the upstream, which cancels the work there and frees the slot.
     upstream_->Cancel(*found->second.request);
+    if (UpstreamGate* gate = upstreamState_->Gate(); gate != nullptr) {
+      gate->OnCallCancelled();
+    }
     pending_.erase(found);
     Execute(queue_.Handle(CallFinished{ aTicket }, now));
   } else {
--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -39,6 +39,8 @@
     TimePoint deadline;
     TimePoint startedAt;
     std::optional<Upstream::RequestId> request;
+    /// Version of the upstream that it was sent to.
+    std::string upstreamVersion = {};
   };
   /// A call that arrived over a link: the link and the sender's id of the call.
   using RemoteCallKey = std::pair<LinkId, uint64_t>;
@@ -48,6 +50,7 @@
   void OnUpstreamResult(Ticket aTicket, const UpstreamResult& aResult);
   void Refuse(Ticket aTicket, ErrorKind aReason);
   void Reply(Ticket aTicket, CallReply aReply);
+  bool IsGateClosed() const;
   void LogOutcome(const PendingCall& aPending, const UpstreamResult& aResult) const;
   /// Completes a drain when no call is running.
   void CheckDrained();
--- a/src/dandeliond/CallServices.h
+++ b/src/dandeliond/CallServices.h
@@ -11,6 +11,23 @@
 
 namespace dandelion {
 
+/// Decides whether calls may be sent to an upstream of its version, and counts them.
+class UpstreamGate
+{
+public:
+  virtual ~UpstreamGate() = default;
+  virtual bool IsOpen() const = 0;
+  /// Counts a call that is sent to the upstream. Returns the version that it is sent to.
+  virtual std::string OnCallStarted(const std::string& aPolicy) = 0;
+  /// Counts the answer of a call to a version; `aHasFailed` also where its outcome is unknown.
+  virtual void OnCallEnded(const std::string& aVersion,
+                           const std::string& aPolicy,
+                           TimePoint aStartedAt,
+                           bool aHasFailed) = 0;
+  /// A call that was sent is cancelled, so it has no answer.
+  virtual void OnCallCancelled() = 0;
+};
+
 /// `ServiceName::UpstreamState`: the known state of the upstream beside this node.
 class UpstreamState
 {
@@ -18,8 +35,18 @@
   virtual ~UpstreamState() = default;
   /// Calls that it may run at a time; 0 while it must not be sent any.
   virtual int64_t Slots() const = 0;
+  /// The same if its gate were open.
+  virtual int64_t UngatedSlots() const { return Slots(); }
   /// Name of its incarnation; empty if it has none.
   virtual const std::string& Id() const = 0;
+  /// Software version that it reports; nothing before its first report.
+  virtual std::optional<std::string> Version() const { return std::nullopt; }
+  virtual bool IsWarmingUp() const { return false; }
+  /// The gate in front of the upstream; null where there is none.
+  virtual UpstreamGate* Gate() const { return nullptr; }
+  virtual void SetGate(UpstreamGate* /* aGate */) {}
+  /// Tells the listeners that the gate was opened or closed.
+  virtual void OnGateChanged() {}
   virtual void AddListener(std::function<void()> aOnChange) = 0;
 };
 
--- a/src/dandeliond/MembershipService.cpp
+++ b/src/dandeliond/MembershipService.cpp
@@ -70,7 +70,10 @@
   spreading_ = &registry.Find<Spreading>(ServiceName::Spreading);
   upstream_ = &registry.Find<UpstreamState>(ServiceName::UpstreamState);
   auto onUpstream = [this] {
-    Execute(detector_.SetSlots(upstream_->Slots(), context_.loop.Now()));
+    // Member records are sent often, so they name versions only where rollouts need them.
+    std::string version =
+      context_.settings.rollouts.has_value() ? upstream_->Version().value_or("") : "";
+    Execute(detector_.SetUpstream(upstream_->Slots(), version, context_.loop.Now()));
   };
   upstream_->AddListener(onUpstream);
   onUpstream();
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -10,6 +10,7 @@
 #include "dandeliond/ReadinessService.h"
 #include "dandeliond/ReleaseLogService.h"
 #include "dandeliond/ReleasesService.h"
+#include "dandeliond/RolloutsService.h"
 #include "dandeliond/SeedsService.h"
 #include "dandeliond/SpreadingService.h"
 #include "dandeliond/StoredConfigurationService.h"
@@ -105,8 +106,12 @@
                         return std::make_unique<ReleaseLogService>(aContext);
                       },
                       [&](const OnPlatform&) -> std::unique_ptr<Service> {
+                        bool readsOrders = aContext.settings.rollouts.has_value();
                         return std::make_unique<StoredConfigurationService>(
-                          aContext, platform::kConfigurationKey, &platform::ReadConfiguration);
+                          aContext,
+                          platform::kConfigurationKey,
+                          &platform::ReadConfiguration,
+                          readsOrders ? platform::kOperatorPrefix : "");
                       },
                     },
                     MakeEnvironment(aContext.settings.environment));
@@ -127,6 +132,15 @@
     MakeEnvironment(aContext.settings.environment));
 }
 
+RolloutProtocol MakeRolloutProtocol()
+{
+  return RolloutProtocol{ platform::kRolloutOrderPrefix,
+                          &platform::RolloutOrderKey,
+                          &platform::RolloutRecordKey,
+                          &platform::ReadRolloutOrder,
+                          &platform::MakeRolloutStatus };
+}
+
 } // namespace
 
 Node::Node(Loop& aLoop, NodeSettings aSettings, uint64_t aIncarnation, uint64_t aSeed)
@@ -157,6 +171,11 @@
   add(ServiceName::Releases, std::make_unique<ReleasesService>());
   add(ServiceName::UpstreamState, MakeUpstreamState(context_));
   add(ServiceName::ReleaseLog, MakeReleaseLog(context_));
+  if (settings_.rollouts.has_value()) {
+    // Its gate has to be in place before other services read the state of the upstream.
+    add(ServiceName::Rollouts,
+        std::make_unique<RolloutsService>(context_, aIncarnation, MakeRolloutProtocol()));
+  }
   add(ServiceName::Spreading, std::make_unique<SpreadingService>(context_, aSeed));
   add(ServiceName::Following, std::make_unique<FollowingService>(context_));
   add(ServiceName::Membership,
--- a/src/dandeliond/NodeSettings.cpp
+++ b/src/dandeliond/NodeSettings.cpp
@@ -100,6 +100,22 @@
       !(aSettings.readiness.has_value() && aSettings.reports.has_value())) {
     errors.emplace_back("readiness and reports must be set where environment is \"platform\"");
   }
+  if (aSettings.rollouts.has_value()) {
+    double share = aSettings.rollouts->exposeShare;
+    if (!(share >= 0 && share <= 1)) {
+      errors.emplace_back("rollouts.expose_share must be from 0 to 1");
+    }
+    constexpr double kMaxBound = 1e9;
+    bool areNumbersValid =
+      aSettings.rollouts->exposeSlack >= 0 && aSettings.rollouts->exposeSlack <= kMaxBound &&
+      aSettings.rollouts->rollbackMs > 0 && aSettings.rollouts->rollbackMs <= kMaxBound;
+    if (!areNumbersValid) {
+      errors.emplace_back("rollouts.expose_slack and rollouts.rollback_ms must be from 0 to 1e9");
+    }
+    if (aSettings.environment != EnvironmentName::Platform) {
+      errors.emplace_back("rollouts may be set only where environment is \"platform\"");
+    }
+  }
   CheckKeys(errors, "keys.nodes", aSettings.keys.nodes);
   CheckKeys(errors, "keys.operators", aSettings.keys.operators);
   CheckEndpointConflicts(errors, aSettings);
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -70,6 +70,16 @@
   int64_t maxFds = 0;
 };
 
+/// Bounds of the calls that a bad version of an upstream may get while it is rolled out.
+struct RolloutSettings
+{
+  /// Share of the calls of the service until the deadline, and calls beyond that share.
+  double exposeShare = 0.1;
+  double exposeSlack = 50;
+  /// Time from the 50th bad answer until no call is sent to the version any more.
+  double rollbackMs = 5000;
+};
+
 struct StoreSettings
 {
   std::vector<Endpoint> servers;
@@ -134,6 +144,8 @@
   std::optional<Endpoint> reports;
   RetrySettings retries;
   MachineSettings machine;
+  /// Without them, versions of upstreams are ignored and orders of rollouts are not read.
+  std::optional<RolloutSettings> rollouts;
   /// The whole mesh is started for the first time.
   bool isFirstStart = false;
 };
@@ -162,6 +174,14 @@
   aVisitor.OptionalField("max_fds", aSettings.maxFds, IntegerRange{ 0, kMaxDescriptors });
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, RolloutSettings& aSettings)
+{
+  aVisitor.OptionalField("expose_share", aSettings.exposeShare);
+  aVisitor.OptionalField("expose_slack", aSettings.exposeSlack);
+  aVisitor.OptionalField("rollback_ms", aSettings.rollbackMs);
+}
+
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, KeySettings& aSettings)
 {
@@ -197,6 +217,7 @@
   aVisitor.OptionalField("reports", aSettings.reports);
   aVisitor.OptionalField("retries", aSettings.retries);
   aVisitor.OptionalField("machine", aSettings.machine);
+  aVisitor.OptionalField("rollouts", aSettings.rollouts);
   aVisitor.OptionalField("first_start", aSettings.isFirstStart);
 }
 
--- a/src/dandeliond/ReleaseServices.h
+++ b/src/dandeliond/ReleaseServices.h
@@ -42,6 +42,19 @@
   virtual void AddListener(std::function<void()> aOnVersion) = 0;
 };
 
+/// Changes of all keys that operators write, on a node that follows the store. Implemented by the
+/// release log that is read from such keys.
+class OperatorKeys
+{
+public:
+  virtual ~OperatorKeys() = default;
+  /// Sets the callback for each answer of the watch; other keys than orders may be among its
+  /// events.
+  virtual void OnOperatorEvents(std::function<void(const WatchEvents&)> aCallback) = 0;
+  /// Sets the callback for the beginning of a watch that may have missed changes before it.
+  virtual void OnOperatorWatch(std::function<void()> aCallback) = 0;
+};
+
 /// `ServiceName::ReleaseLog`: the log of accepted notes in the store.
 class ReleaseLog
 {
--- a/src/dandeliond/StoredConfigurationService.cpp
+++ b/src/dandeliond/StoredConfigurationService.cpp
@@ -18,10 +18,12 @@
 
 StoredConfigurationService::StoredConfigurationService(const NodeContext& aContext,
                                                        std::string aKey,
-                                                       Reader aReader)
+                                                       Reader aReader,
+                                                       std::string aWatchPrefix)
   : context_(aContext)
   , key_(std::move(aKey))
   , reader_(std::move(aReader))
+  , watchPrefix_(aWatchPrefix.empty() ? key_ : std::move(aWatchPrefix))
 {
 }
 
@@ -128,6 +130,7 @@
     return;
   }
   isFollowing_ = true;
+  isContinued_ = false;
   revision_ = std::max(revision_, aAfterRevision);
   // Many nodes may begin to follow at once, so a node that knows a revision does not read the whole
   // configuration.
@@ -159,6 +162,7 @@
   }
   isReading_ = true;
   readBeganAt_ = context_.loop.Now();
+  isContinued_ = false;
   Synchronize([this](const absl::Status& aStatus) {
     isReading_ = false;
     if (!aStatus.ok() && KindOf(aStatus) == ErrorKind::StoreUnavailable) {
@@ -179,7 +183,13 @@
   watchBeganAt_ = context_.loop.Now();
   hasWatchAnswered_ = false;
   auto onEvents = [this](const WatchEvents& aEvents) { OnWatchEvents(aEvents); };
-  watch_ = store_->Watch(key_, revision_, onEvents, [this] { OnWatchEnd(); });
+  watch_ = store_->Watch(watchPrefix_, revision_, onEvents, [this] { OnWatchEnd(); });
+  // Reads of the configuration raise the revision, and other keys may have changed before it.
+  bool isContinued = isContinued_ && revision_ == watchedRevision_;
+  watchedRevision_ = revision_;
+  if (onOperatorWatch_ && !isContinued) {
+    onOperatorWatch_();
+  }
 }
 
 void StoredConfigurationService::OnWatchEvents(const WatchEvents& aEvents)
@@ -193,6 +203,10 @@
     holdsNewest_ = ApplyItem(*newest).ok();
   }
   revision_ = std::max(revision_, aEvents.revision);
+  watchedRevision_ = std::max(watchedRevision_, aEvents.revision);
+  if (onOperatorEvents_) {
+    onOperatorEvents_(aEvents);
+  }
   if (aEvents.asOf.has_value()) {
     Confirm(*aEvents.asOf);
   }
@@ -201,6 +215,7 @@
 void StoredConfigurationService::OnWatchEnd()
 {
   watch_.reset();
+  isContinued_ = true;
   // A watch that has answered is begun again over another connection. One that never did asked for
   // history that the store has dropped, or the store does not answer at all; a read tells which.
   std::optional<TimePoint> last = hasWatchAnswered_ ? watchBeganAt_ : readBeganAt_;
--- a/src/dandeliond/StoredConfigurationService.h
+++ b/src/dandeliond/StoredConfigurationService.h
@@ -11,12 +11,17 @@
 class StoredConfigurationService
   : public Service
   , public ReleaseLog
+  , public OperatorKeys
 {
 public:
   /// Parses a configuration from the bytes that operators wrote.
   using Reader = std::function<absl::StatusOr<Configuration>(const std::string&)>;
 
-  StoredConfigurationService(const NodeContext& aContext, std::string aKey, Reader aReader);
+  /// Watches `aWatchPrefix`, of which `aKey` must be one, or only the key if it is empty.
+  StoredConfigurationService(const NodeContext& aContext,
+                             std::string aKey,
+                             Reader aReader,
+                             std::string aWatchPrefix = "");
 
   absl::Status Start() override;
   void Stop() override { Unfollow(); }
@@ -32,6 +37,14 @@
     confirmedListeners_.push_back(std::move(aListener));
   }
   void Compact(OnDone aDone) override { aDone(absl::OkStatus()); }
+  void OnOperatorEvents(std::function<void(const WatchEvents&)> aCallback) override
+  {
+    onOperatorEvents_ = std::move(aCallback);
+  }
+  void OnOperatorWatch(std::function<void()> aCallback) override
+  {
+    onOperatorWatch_ = std::move(aCallback);
+  }
 
 private:
   absl::Status ApplyItem(const KeyValue& aItem);
@@ -49,6 +62,7 @@
   const NodeContext& context_;
   std::string key_;
   Reader reader_;
+  std::string watchPrefix_;
   Store* store_ = nullptr;
   Releases* releases_ = nullptr;
   Membership* membership_ = nullptr;
@@ -67,6 +81,12 @@
   std::optional<TimePoint> watchBeganAt_;
   bool hasWatchAnswered_ = false;
   std::vector<OnConfirmation> confirmedListeners_;
+  std::function<void(const WatchEvents&)> onOperatorEvents_;
+  std::function<void()> onOperatorWatch_;
+  /// Whether the next watch continues where the last one ended.
+  bool isContinued_ = false;
+  /// All changes up to this revision were reported by watches.
+  int64_t watchedRevision_ = 0;
   std::optional<Store::WatchId> watch_;
   Timer retryTimer_;
 };
--- a/src/dandeliond/UpstreamStateServices.h
+++ b/src/dandeliond/UpstreamStateServices.h
@@ -56,8 +56,18 @@
 
   absl::Status Start() override;
   void Stop() override { server_.StopListening(); }
-  int64_t Slots() const override { return tracker_.Slots(); }
+  int64_t Slots() const override
+  {
+    bool isOpen = gate_ == nullptr || gate_->IsOpen();
+    return isOpen ? tracker_.Slots() : 0;
+  }
+  int64_t UngatedSlots() const override { return tracker_.Slots(); }
   const std::string& Id() const override { return tracker_.Id(); }
+  std::optional<std::string> Version() const override { return tracker_.SoftwareVersion(); }
+  bool IsWarmingUp() const override { return tracker_.IsWarmingUp(context_.loop.Now()); }
+  UpstreamGate* Gate() const override { return gate_; }
+  void SetGate(UpstreamGate* aGate) override { gate_ = aGate; }
+  void OnGateChanged() override { NotifyListeners(); }
   void AddListener(std::function<void()> aOnChange) override
   {
     listeners_.push_back(std::move(aOnChange));
@@ -75,6 +85,7 @@
   HttpServer server_;
   HttpClient client_;
   bool isHealthQueried_ = false;
+  UpstreamGate* gate_ = nullptr;
   std::vector<std::function<void()>> listeners_;
 };
 
--- a/src/kernel/Metrics.h
+++ b/src/kernel/Metrics.h
@@ -24,6 +24,7 @@
   NotesRefused,
   NotesUndecided,
   VersionsApplied,
+  VersionCalls,
 };
 
 template<>
@@ -40,6 +41,7 @@
     { CounterName::NotesRefused, "notes_refused_total" },
     { CounterName::NotesUndecided, "notes_undecided_total" },
     { CounterName::VersionsApplied, "versions_applied_total" },
+    { CounterName::VersionCalls, "upstream_version_calls_total" },
   };
 };
 
--- a/src/membership/FailureDetector.cpp
+++ b/src/membership/FailureDetector.cpp
@@ -125,13 +125,16 @@
   }
 }
 
-FailureDetectorEffects FailureDetector::SetSlots(int64_t aSlots, TimePoint aNow)
+FailureDetectorEffects FailureDetector::SetUpstream(int64_t aSlots,
+                                                    const std::string& aVersion,
+                                                    TimePoint aNow)
 {
   Member self = Self();
-  if (self.slots == aSlots) {
+  if (self.slots == aSlots && self.upstreamVersion == aVersion) {
     return {};
   }
   self.slots = aSlots;
+  self.upstreamVersion = aVersion;
   return ReplaceSelf(std::move(self), aNow);
 }
 
--- a/src/membership/FailureDetector.h
+++ b/src/membership/FailureDetector.h
@@ -68,8 +68,9 @@
   /// Announces to several members immediately that this node is leaving or, when the process exits,
   /// gone.
   FailureDetectorEffects AnnounceDeparture(MemberState aState, TimePoint aNow);
-  /// Sets how many calls the upstream of this node runs concurrently; 0 while it accepts none.
-  FailureDetectorEffects SetSlots(int64_t aSlots, TimePoint aNow);
+  /// Sets how many calls the upstream of this node runs concurrently, 0 while it accepts none, and
+  /// the software version that it reports.
+  FailureDetectorEffects SetUpstream(int64_t aSlots, const std::string& aVersion, TimePoint aNow);
   /// Sets the latency of the store's answers; 0 while the store does not answer this node.
   FailureDetectorEffects SetStoreLatency(int64_t aMilliseconds, TimePoint aNow);
   /// On a relay, sends the node's new version immediately to several members of its zone and to the
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -29,7 +29,7 @@
   return escaped;
 }
 
-/// Parses an item of the store. Its field `rev`, the revision that last changed it, is not used.
+/// Parses an item of the store. Its field `rev` is the revision that last changed it.
 /// Returns nothing if the key or the value is missing or invalid.
 std::optional<KeyValue> ReadItem(const Json& aItem)
 {
@@ -43,6 +43,9 @@
   if (!absl::Base64Unescape(aItem["value"].get_ref<const std::string&>(), &item.value)) {
     return std::nullopt;
   }
+  if (aItem.contains("rev") && aItem["rev"].is_number_integer()) {
+    item.revision = aItem["rev"].get<int64_t>();
+  }
   return item;
 }
 
@@ -263,6 +266,25 @@
   CommitTransaction(body, onReply);
 }
 
+void KeyValueStore::Swap(const SwapRequest& aRequest, OnSwapped aDone)
+{
+  Json condition = { { "key", aRequest.key }, { "rev", aRequest.expectedRevision } };
+  Json puts = Json::array();
+  for (const KeyValue& put : aRequest.puts) {
+    puts.push_back(MakePut(put.key, put.value, 0));
+  }
+  auto onReply = [done = std::move(aDone)](const absl::StatusOr<Reply>& aReply) {
+    bool isAnswered =
+      aReply.ok() && (aReply->status == kOk || aReply->status == kPreconditionFailed);
+    if (isAnswered) {
+      done(SwapResult{ aReply->status == kOk, ReadRevision(aReply->body) });
+    } else {
+      done(aReply.ok() ? Unavailable(aReply->status) : aReply.status());
+    }
+  };
+  CommitTransaction(MakeTransaction(Json::array({ condition }), puts, Json::array()), onReply);
+}
+
 void KeyValueStore::Put(const std::string& aKey,
                         const std::string& aValue,
                         std::optional<Duration> aTimeToLive,
--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -6,6 +6,7 @@
 #include "platform/KeyValueStore.h"
 #include "platform/OperatorConfiguration.h"
 #include "platform/ProtocolNames.h"
+#include "platform/RolloutOrders.h"
 #include "platform/UpstreamReports.h"
 
 #endif
--- a/src/platform/ProtocolNames.h
+++ b/src/platform/ProtocolNames.h
@@ -13,6 +13,14 @@
 /// The store's key of the operators' complete configuration.
 constexpr char kConfigurationKey[] = "op/config";
 
+/// The prefix of all keys that operators write; one watch of it reports configurations and orders.
+constexpr char kOperatorPrefix[] = "op/";
+/// The prefix of the orders of version rollouts; the service's name follows it.
+constexpr char kRolloutOrderPrefix[] = "op/rollout/";
+/// The prefix of the operators' view of rollouts, and of the product's own records.
+constexpr char kRolloutStatusPrefix[] = "status/rollout/";
+constexpr char kRolloutRecordPrefix[] = "dandelion/rollouts/";
+
 CallHeaderNames MakeCallHeaderNames();
 
 } // namespace dandelion::platform
--- a/src/platform/UpstreamReports.cpp
+++ b/src/platform/UpstreamReports.cpp
@@ -11,6 +11,9 @@
 /// Maximum size of a report's body; a complete one has a few hundred bytes.
 constexpr size_t kMaxReportBytes = 16 * 1024;
 constexpr int64_t kMaxUpstreamSlots = 100000;
+/// Versions are announced in member records, which have to fit in datagrams.
+constexpr size_t kMaxVersionBytes = 128;
+constexpr int64_t kMaxWarmupMs = 3600 * 1000;
 
 struct ReportFields
 {
@@ -20,6 +23,8 @@
   int64_t capacity = 0;
   int64_t sequence = 0;
   std::optional<int64_t> born;
+  std::string version;
+  int64_t warmupLeftMs = 0;
 };
 
 template<class Visitor>
@@ -30,6 +35,8 @@
   aVisitor.Field("capacity", aFields.capacity, IntegerRange{ 1, kMaxUpstreamSlots });
   aVisitor.Field("sequence", aFields.sequence, IntegerRange{ 0, INT64_MAX });
   aVisitor.OptionalField("born", aFields.born);
+  aVisitor.OptionalField("version", aFields.version, MaxTextBytes{ kMaxVersionBytes });
+  aVisitor.OptionalField("warmup-left", aFields.warmupLeftMs, IntegerRange{ 0, kMaxWarmupMs });
 }
 
 /// The body of an upstream's last report (DELETE), which may also be empty.
@@ -90,6 +97,8 @@
   report.slots = fields->capacity;
   report.sequence = fields->sequence;
   report.startTimeMs = fields->born;
+  report.softwareVersion = fields->version;
+  report.warmupLeft = milliseconds(fields->warmupLeftMs);
   return report;
 }
 
--- a/src/versions/RolloutJudge.cpp
+++ b/src/versions/RolloutJudge.cpp
@@ -255,7 +255,7 @@
 
 std::optional<RolloutStage> RolloutJudge::WantedStage(TimePoint aNow)
 {
-  if (IsDecided()) {
+  if (IsDecided() || isSuperseded_) {
     return std::nullopt;
   }
   if (isBad_) {
@@ -314,8 +314,8 @@
 {
   std::optional<RolloutStage> wanted = WantedStage(aNow);
   // Other judges learn the calls from reports, so only the first one records them.
-  bool isCheckpointDue = aRank == 0 && isStored_ && stored_.stage == RolloutStage::Canary &&
-                         aNow >= nextCheckpoint_ &&
+  bool isCheckpointDue = aRank == 0 && !isSuperseded_ && isStored_ &&
+                         stored_.stage == RolloutStage::Canary && aNow >= nextCheckpoint_ &&
                          ExposedCalls() >= writtenExposed_ + kExposedCallsPerWrite;
   if (!wanted.has_value() && !isCheckpointDue) {
     wantsWriteSince_.reset();
@@ -395,6 +395,7 @@
   hasRead_ = true;
   storedRevision_ = aRevision;
   if (aRecord.has_value()) {
+    isSuperseded_ = aRecord->orderRevision > order_.revision;
     SetStage(*aRecord, aSentAt);
   }
 }
@@ -410,6 +411,8 @@
 {
   isStoreBusy_ = false;
   storedRevision_ = aRevision;
+  // The next write needs the revision.
+  hasRead_ = aRevision > 0;
   confirmedAt_ = std::max(confirmedAt_, aNow);
   SetStage(aRecord, aNow);
 }
--- a/src/versions/RolloutJudge.h
+++ b/src/versions/RolloutJudge.h
@@ -46,6 +46,7 @@
   void OnRecord(const std::optional<RolloutRecord>& aRecord, int64_t aRevision, TimePoint aSentAt);
   /// The latest read or write had no result, or the record had been changed meanwhile.
   void OnStoreFailed(TimePoint aNow);
+  /// The record was written; `aRevision` is 0 where the store does not tell.
   void OnWritten(const RolloutRecord& aRecord, int64_t aRevision, TimePoint aNow);
   /// The store's view of the orders was current at `aAsOf`.
   void OnConfirmed(TimePoint aAsOf) { confirmedAt_ = std::max(confirmedAt_, aAsOf); }
@@ -109,6 +110,8 @@
   TimePoint lastOldSeenAt_;
   int64_t writtenExposed_ = 0;
   VersionJudgement judgement_;
+  /// The store holds the record of a later order.
+  bool isSuperseded_ = false;
   bool isBad_ = false;
   std::string badReason_;
 };
--- a/src/versions/VersionGate.cpp
+++ b/src/versions/VersionGate.cpp
@@ -13,7 +13,9 @@
     return;
   }
   version_ = aVersion;
-  versionSeenAt_ = aNow;
+  // At a first start no order can name the version that the upstream starts with.
+  versionSeenAt_ = isFirstVersionKnown_ ? informedAsOf_ : aNow;
+  isFirstVersionKnown_ = false;
   admitted_ = 0;
   maxCalls_ = 0;
   isPermitOpen_ = false;
@@ -35,6 +37,7 @@
 {
   isInformed_ = true;
   informedAsOf_ = aNow;
+  isFirstVersionKnown_ = !version_.has_value();
 }
 
 void VersionGate::OnPermit(const RolloutPermit& aPermit, TimePoint aNow)
--- a/src/versions/VersionGate.h
+++ b/src/versions/VersionGate.h
@@ -48,6 +48,7 @@
 
   std::optional<std::string> version_;
   std::string upstreamId_;
+  bool isFirstVersionKnown_ = false;
   /// When this node first saw the version.
   TimePoint versionSeenAt_;
   bool isSameVersionRunning_ = false;
--- a/src/wire/EtcdStore.cpp
+++ b/src/wire/EtcdStore.cpp
@@ -49,7 +49,9 @@
 
 KeyValue ToKeyValue(const Json& aJson)
 {
-  return KeyValue{ FromBase64(FieldOf(aJson, "key")), FromBase64(FieldOf(aJson, "value")) };
+  return KeyValue{ FromBase64(FieldOf(aJson, "key")),
+                   FromBase64(FieldOf(aJson, "value")),
+                   ToInteger(aJson, "mod_revision") };
 }
 
 ReadResult ToReadResult(const Json& aJson)
@@ -174,6 +176,29 @@
   });
 }
 
+void EtcdStore::Swap(const SwapRequest& aRequest, OnSwapped aDone)
+{
+  Json compare = { { "key", ToBase64(aRequest.key) },
+                   { "target", "MOD" },
+                   { "result", "EQUAL" },
+                   { "mod_revision", std::to_string(aRequest.expectedRevision) } };
+  Json puts = Json::array();
+  for (const KeyValue& item : aRequest.puts) {
+    Json put = { { "key", ToBase64(item.key) }, { "value", ToBase64(item.value) } };
+    puts.push_back(Json{ { "request_put", put } });
+  }
+  Json body = { { "compare", Json::array({ compare }) }, { "success", puts } };
+  Call("/v3/kv/txn", body, [done = std::move(aDone)](const absl::StatusOr<Json>& aAnswer) {
+    if (!aAnswer.ok()) {
+      done(aAnswer.status());
+      return;
+    }
+    const Json& succeeded = FieldOf(*aAnswer, "succeeded");
+    done(SwapResult{ succeeded.is_boolean() && succeeded.get<bool>(),
+                     ToInteger(FieldOf(*aAnswer, "header"), "revision") });
+  });
+}
+
 void EtcdStore::Put(const std::string& aKey,
                     const std::string& aValue,
                     std::optional<Duration> aTimeToLive,
--- a/src/wire/EtcdStore.h
+++ b/src/wire/EtcdStore.h
@@ -21,6 +21,7 @@
 
   void Read(const ReadRequest& aRequest, OnRead aDone) override;
   void Create(const CreateRequest& aRequest, OnCreated aDone) override;
+  void Swap(const SwapRequest& aRequest, OnSwapped aDone) override;
   void Put(const std::string& aKey,
            const std::string& aValue,
            std::optional<Duration> aTimeToLive,
--- a/src/wire/Store.h
+++ b/src/wire/Store.h
@@ -15,6 +15,8 @@
 {
   std::string key;
   std::string value;
+  /// Revision of the store that last changed the key; 0 if the store does not tell.
+  int64_t revision = 0;
 };
 
 struct ReadRequest
@@ -57,6 +59,22 @@
   std::string parentKey;
 };
 
+struct SwapRequest
+{
+  /// The key that must have this revision; 0 if it must not exist.
+  std::string key;
+  int64_t expectedRevision = 0;
+  /// Keys that are written together.
+  std::vector<KeyValue> puts;
+};
+
+/// Result of a swap that was written or refused: the revision of the store.
+struct SwapResult
+{
+  bool isWritten = false;
+  int64_t revision = 0;
+};
+
 /// Each call counts against the store's rate limits; a watch counts as one call.
 /// Each callback of a call is called once, from the loop, within a timeout.
 class Store
@@ -65,6 +83,7 @@
   using WatchId = uint64_t;
   using OnRead = std::function<void(const absl::StatusOr<ReadResult>&)>;
   using OnCreated = std::function<void(AppendOutcome)>;
+  using OnSwapped = std::function<void(const absl::StatusOr<SwapResult>&)>;
   using OnDone = std::function<void(const absl::Status&)>;
   using OnEvents = std::function<void(const WatchEvents&)>;
 
@@ -73,6 +92,9 @@
   virtual void Read(const ReadRequest& aRequest, OnRead aDone) = 0;
   /// Atomically creates a key if it does not exist and its parent key does.
   virtual void Create(const CreateRequest& aRequest, OnCreated aDone) = 0;
+  /// Writes keys atomically if one of them has the expected revision. After an error it is unknown
+  /// whether they were written.
+  virtual void Swap(const SwapRequest& aRequest, OnSwapped aDone) = 0;
   /// Writes a key unconditionally. With a time to live the store deletes the key when it expires.
   virtual void Put(const std::string& aKey,
                    const std::string& aValue,
--- a/test/correctness/StoredConfigurationIsFollowed.cpp
+++ b/test/correctness/StoredConfigurationIsFollowed.cpp
@@ -20,6 +20,7 @@
 public:
   IMPLEMENT_MOCK2(Read);
   IMPLEMENT_MOCK2(Create);
+  IMPLEMENT_MOCK2(Swap);
   IMPLEMENT_MOCK4(Put);
   IMPLEMENT_MOCK3(DeleteRange);
   IMPLEMENT_MOCK4(Watch);
