--- a/src/dandeliond/main.cpp
+++ b/src/dandeliond/main.cpp
@@ -28,7 +28,28 @@
   return TraitsOf(KindOf(aStatus)).exitCode;
 }
 
-int RunDaemon()
+/// Holds back the signals that the daemon handles. Without this, a request to stop that arrives
+/// before the handlers are in place ends the process at once.
+class HeldSignals
+{
+public:
+  HeldSignals()
+  {
+    sigemptyset(&signals_);
+    for (int signal : { SIGTERM, SIGINT, SIGHUP }) {
+      sigaddset(&signals_, signal);
+    }
+    sigprocmask(SIG_BLOCK, &signals_, nullptr);
+  }
+
+  /// Delivers the signals that have arrived so far, and all further ones.
+  void Release() { sigprocmask(SIG_UNBLOCK, &signals_, nullptr); }
+
+private:
+  sigset_t signals_;
+};
+
+int RunDaemon(HeldSignals& aSignals)
 {
   auto settings = LoadNodeSettings(absl::GetFlag(FLAGS_settings));
   if (!settings.ok()) {
@@ -52,6 +73,7 @@
   loop.OnSignal(SIGTERM, [&] { node.BeginStop(); });
   loop.OnSignal(SIGINT, [&] { node.BeginStop(); });
   loop.OnSignal(SIGHUP, [&] { node.Reload(LoadNodeSettings(absl::GetFlag(FLAGS_settings))); });
+  aSignals.Release();
   absl::Status status = node.Start();
   if (!status.ok()) {
     return Fail(status);
@@ -66,7 +88,8 @@
 
 int main(int aArgumentCount, char** aArguments)
 {
+  dandelion::HeldSignals signals;
   absl::SetProgramUsageMessage("dandeliond --settings=FILE [--check_settings]");
   absl::ParseCommandLine(aArgumentCount, aArguments);
-  return dandelion::RunDaemon();
+  return dandelion::RunDaemon(signals);
 }
--- a/test/process/CallsUnderFailures.cpp
+++ b/test/process/CallsUnderFailures.cpp
@@ -222,3 +222,17 @@
   CheckAgainstJournals(cluster, traffic);
   cr_assert_eq(traffic.Count("ran"), static_cast<int>(traffic.Results().size()));
 }
+
+/// Guards against a stop that arrives before the handlers of signals are in place and ends the
+/// process at once, without the steps of a planned stop.
+Test(calls, planned_stop_right_after_start_ends_in_order)
+{
+  Cluster cluster(ClusterShape{ 2, 1, 1 });
+  StartWithNote(cluster);
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    cluster.Kill(1);
+    cluster.Restart(1);
+    cluster.Terminate(1);
+    cr_assert_eq(cluster.WaitForExit(1), 0);
+  }
+}
