Goodput stays at capacity under overload

Queues filled until what they ran ended just after its target; clients that had been refused came back, and their target was counted anew; short nested calls were taken for long ones when only their own kind was running, and judged by the queue delay that another kind of call had seen, so all of them went to the slowest upstreams and the runs that waited for them held their slots or were lost. Change: a queue expects a call to end in time only with the mean deviation of its service time to spare; callers keep queue estimates by cost class; cheap calls are known from earlier calls; the latency target counts from the client's first attempt, as far as the usual deadline of the policy tells; while calls are refused for lack of room, a call is sent only to an upstream that is expected to answer it in time.

--- a/src/admission/TargetQueue.cpp
+++ b/src/admission/TargetQueue.cpp
@@ -10,6 +10,10 @@
 constexpr Duration kDefaultServiceTime = milliseconds(100);
 /// Weight of a sample in the smoothed service time: about the last ten calls count.
 constexpr double kSampleWeight = 0.1;
+/// Service times vary, so a call is expected to end in time only if its service time may exceed the
+/// mean by this many mean deviations. Without it, half of the calls that a full queue admits end
+/// just after their target.
+constexpr int kLikelyDeviations = 1;
 /// Added to the latest start for each priority rank below the highest.
 constexpr Duration kDelayPerPriorityRank = milliseconds(150);
 /// Time reserved for sending the answer back to the caller.
@@ -20,6 +24,11 @@
 /// calls of other cost classes, divided by this.
 constexpr int kCheapDivisor = 4;
 
+Duration Weighted(Duration aChange)
+{
+  return Duration(static_cast<int64_t>(kSampleWeight * static_cast<double>(aChange.count())));
+}
+
 } // namespace
 
 TargetQueue::TargetQueue(int64_t aSlots)
@@ -55,7 +64,7 @@
     return;
   }
   TimePoint start = aNow + ExpectedQueueDelayOf(aCall, aNow);
-  TimePoint end = start + ExpectedServiceTime(aCall.costClass, aNow) + kReplyDelay;
+  TimePoint end = start + LikelyServiceTime(aCall.costClass, aNow) + kReplyDelay;
   if (start - aNow > aCall.maxQueueDelay || end > LatestUsefulEnd(aCall, aNow)) {
     aEffects.push_back(RefuseCall{ aCall.call, ErrorKind::Overloaded });
     return;
@@ -71,9 +80,13 @@
   }
   if (aCall.isServiceTimeSample) {
     Duration elapsed = aNow - found->second.startedAt;
-    auto [known, isNew] = serviceTimes_.emplace(found->second.costClass, elapsed);
-    double change = kSampleWeight * static_cast<double>((elapsed - known->second).count());
-    known->second += Duration(static_cast<int64_t>(isNew ? 0 : change));
+    auto [known, isNew] =
+      serviceTimes_.emplace(found->second.costClass, ServiceTime{ elapsed, Duration::zero() });
+    Duration error = elapsed - known->second.mean;
+    if (!isNew) {
+      known->second.mean += Weighted(error);
+      known->second.deviation += Weighted(std::max(error, -error) - known->second.deviation);
+    }
   }
   const RunningCall& call = found->second;
   accounts_.OnFinished(call.sharer, call.expected, aNow - call.startedAt);
@@ -86,7 +99,7 @@
     // Cheap calls go first, then calls that can meet their target, by latest start. Of the others
     // the one with the nearest deadline goes first.
     auto isLate = [&](const CallArrived& aCall) {
-      return aNow + ExpectedServiceTime(aCall.costClass, aNow) > LatestUsefulEnd(aCall, aNow);
+      return aNow + LikelyServiceTime(aCall.costClass, aNow) > LatestUsefulEnd(aCall, aNow);
     };
     auto comesFirst = [&](const CallArrived& aA, const CallArrived& aB) {
       bool isCheapA = IsCheap(aA.costClass, aNow);
@@ -178,7 +191,8 @@
   estimate.freeSlots = std::max<int64_t>(0, slots_ - estimate.queueLength);
   estimate.serviceTime = ExpectedServiceTime(aCostClass, aNow);
   if (estimate.freeSlots == 0) {
-    estimate.queueDelay = ExpectedQueueDelay(TimePoint::max(), aNow);
+    bool isCheap = IsCheap(aCostClass, aNow);
+    estimate.queueDelay = ExpectedQueueDelay(isCheap ? TimePoint::min() : TimePoint::max(), aNow);
   }
   return estimate;
 }
@@ -186,7 +200,7 @@
 Duration TargetQueue::ExpectedServiceTime(const CostClass& aCostClass, TimePoint aNow) const
 {
   auto known = serviceTimes_.find(aCostClass);
-  Duration serviceTime = known == serviceTimes_.end() ? kDefaultServiceTime : known->second;
+  Duration serviceTime = known == serviceTimes_.end() ? kDefaultServiceTime : known->second.mean;
   // Running calls that take longer than usual show a slowdown that no finished call shows yet.
   Duration elapsed = Duration::zero();
   int64_t running = 0;
@@ -199,6 +213,13 @@
   return running == 0 ? serviceTime : std::max(serviceTime, elapsed / running);
 }
 
+Duration TargetQueue::LikelyServiceTime(const CostClass& aCostClass, TimePoint aNow) const
+{
+  auto known = serviceTimes_.find(aCostClass);
+  Duration deviation = known == serviceTimes_.end() ? Duration::zero() : known->second.deviation;
+  return ExpectedServiceTime(aCostClass, aNow) + kLikelyDeviations * deviation;
+}
+
 Duration TargetQueue::RemainingServiceTime(TimePoint aNow) const
 {
   Duration remaining = Duration::zero();
@@ -267,6 +288,15 @@
       ++count;
     }
   }
+  if (count == 0) {
+    // Calls of one cost class fill all slots; the others are known from earlier calls.
+    for (const auto& [costClass, serviceTime] : serviceTimes_) {
+      if (costClass != aCostClass) {
+        others += serviceTime.mean;
+        ++count;
+      }
+    }
+  }
   return count > 0 && ExpectedServiceTime(aCostClass, aNow) * kCheapDivisor < others / count;
 }
 
--- a/src/admission/TargetQueue.h
+++ b/src/admission/TargetQueue.h
@@ -50,6 +50,12 @@
   QueueEstimate EstimateFor(const CostClass& aCostClass, TimePoint aNow) const;
 
 private:
+  /// Smoothed service time of a cost class and its smoothed mean deviation.
+  struct ServiceTime
+  {
+    Duration mean;
+    Duration deviation = Duration::zero();
+  };
   struct RunningCall
   {
     CostClass costClass;
@@ -66,6 +72,8 @@
   Duration ExpectedQueueDelayOf(const CallArrived& aCall, TimePoint aNow) const;
   /// Expected time in a slot.
   Duration ExpectedServiceTime(const CostClass& aCostClass, TimePoint aNow) const;
+  /// Time in a slot that most calls of a cost class do not exceed.
+  Duration LikelyServiceTime(const CostClass& aCostClass, TimePoint aNow) const;
   /// Whether the expected service time of a cost class is small beside that of the running calls of
   /// other cost classes.
   bool IsCheap(const CostClass& aCostClass, TimePoint aNow) const;
@@ -86,7 +94,7 @@
   std::vector<CallArrived> waiting_;
   AccountOrder accounts_;
   std::map<CallKey, RunningCall> running_;
-  std::map<CostClass, Duration> serviceTimes_;
+  std::map<CostClass, ServiceTime> serviceTimes_;
 };
 
 } // namespace dandelion
--- a/src/dandeliond/CallInProgress.h
+++ b/src/dandeliond/CallInProgress.h
@@ -32,6 +32,9 @@
   /// The service that the call is sent to, one of the services of its route.
   std::string service;
   TimePoint beganAt;
+  /// When the client began its first attempt, as far as is known; its latency target counts from
+  /// then.
+  TimePoint clientBeganAt;
   /// `attempts` is 0 until the call has a route.
   CallLimits limits;
   Attempts attempts;
--- a/src/dandeliond/CallMessages.cpp
+++ b/src/dandeliond/CallMessages.cpp
@@ -57,7 +57,7 @@
   const PolicySpec& policy = *aCall.route.policy;
   openCall.policy = policy.name;
   if (policy.targetMs > 0) {
-    Duration left = aCall.beganAt + milliseconds(policy.targetMs) - aNow;
+    Duration left = aCall.clientBeganAt + milliseconds(policy.targetMs) - aNow;
     openCall.targetMs = std::max<int64_t>(1, ToMilliseconds(left));
     std::optional<Duration> maxQueueDelay = aCall.tried.MaxQueueDelay(left);
     if (maxQueueDelay.has_value()) {
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -64,6 +64,7 @@
                        {},
                        {},
                        now,
+                       now,
                        {},
                        Attempts(false, 1, now),
                        {},
@@ -106,6 +107,8 @@
   }
   call.deadlineTimer =
     context_.loop.After(call.limits.deadline - now, [this, aId] { OnDeadline(aId); });
+  call.clientBeganAt =
+    call.beganAt - clientDeadlines_.Observe(policy.name, call.request.limits.timeLeft);
   retryBudgets_.For(call.service).OnCall();
   ScheduleHedge(aId);
   SendNext(aId);
@@ -154,6 +157,11 @@
   return true;
 }
 
+bool CallsService::IsLimited(const CallInProgress& aCall) const
+{
+  return limiter_.IsLimiting(aCall.service, aCall.route.policy->name, context_.loop.Now());
+}
+
 ChoiceQuery CallsService::QueryFor(const CallInProgress& aCall) const
 {
   const PolicySpec& policy = *aCall.route.policy;
@@ -162,9 +170,9 @@
     aCall.service, policy.crossRegion, milliseconds(service.coldStartMs), aCall.tried.Excluded()
   };
   query.costClass = policy.name;
-  query.mustMeetTarget = aCall.tried.MustMeetTarget();
+  query.mustMeetTarget = aCall.tried.MustMeetTarget() || IsLimited(aCall);
   if (policy.targetMs > 0) {
-    query.timeLeft = aCall.beganAt + milliseconds(policy.targetMs) - context_.loop.Now();
+    query.timeLeft = aCall.clientBeganAt + milliseconds(policy.targetMs) - context_.loop.Now();
   }
   return query;
 }
@@ -178,6 +186,9 @@
 void CallsService::SendNext(CallId aId)
 {
   CallInProgress& call = calls_.at(aId);
+  if (IsLimited(call)) {
+    call.tried.EndShortWait();
+  }
   call.tried.BeginSend();
   const Member* member = ChooseFor(call);
   if (member == nullptr && call.tried.EndShortWait()) {
@@ -191,9 +202,13 @@
     Answer(aId, AnswerFromReply(call, call.lastReply));
     return;
   }
+  // Refused here as well while the service has too little room: an upstream would refuse it later.
   Answer(aId,
-         MakeRefusal(ErrorKind::NoUpstream,
-                     fmt::format("service \"{}\" has no upstream within reach", call.service)));
+         IsLimited(call)
+           ? MakeRefusal(ErrorKind::Overloaded,
+                         fmt::format("service \"{}\" has no room for the call", call.service))
+           : MakeRefusal(ErrorKind::NoUpstream,
+                         fmt::format("service \"{}\" has no upstream within reach", call.service)));
 }
 
 void CallsService::SendAttempt(CallId aId, const Member& aMember, bool aHasTakenRetry)
@@ -399,6 +414,11 @@
   CancelAttempts(call);
   bool isShed = aAnswer.outcome == CallOutcome::NotRun && call.route.policy != nullptr &&
                 aAnswer.error != ErrorKind::Unauthenticated;
+  if (call.route.policy != nullptr) {
+    bool hasFoundNoRoom = aAnswer.error == ErrorKind::Overloaded;
+    limiter_.OnCallEnded(
+      call.service, call.route.policy->name, hasFoundNoRoom, context_.loop.Now());
+  }
   if (isShed) {
     Duration wait =
       choice_.ShortestQueueDelay(membership_->Table(), QueryFor(call), context_.loop.Now());
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -34,6 +34,8 @@
   /// cannot be routed or this node must not take it.
   bool Resolve(CallInProgress& aCall, CallerAnswer& aRefusal);
   void Start(CallId aId);
+  /// Whether the service of the call has too little room at present.
+  bool IsLimited(const CallInProgress& aCall) const;
   ChoiceQuery QueryFor(const CallInProgress& aCall) const;
   /// The upstream of the next attempt, or null where none may be tried.
   const Member* ChooseFor(const CallInProgress& aCall);
@@ -55,6 +57,8 @@
   const NodeContext& context_;
   UpstreamChoice choice_;
   Hedging hedging_;
+  EntryLimiter limiter_;
+  ClientDeadlines clientDeadlines_;
   SplitChoice splits_;
   RetryBudgets retryBudgets_;
   /// Calls that may end later are refused.
--- a/src/overload/EntryLimiter.cpp
+++ b/src/overload/EntryLimiter.cpp
@@ -7,9 +7,10 @@
 namespace {
 
 /// Weight of one call in the smoothed share.
-constexpr double kSampleWeight = 0.1;
-/// Without calls the share halves in this time: a few round trips between regions.
-constexpr Duration kHalfLife = milliseconds(200);
+constexpr double kSampleWeight = 0.2;
+/// Without calls the share halves in this time, so that room that has come back is found within two
+/// seconds.
+constexpr Duration kHalfLife = milliseconds(500);
 
 double Decay(Duration aAge)
 {
--- a/src/routing/Routing.h
+++ b/src/routing/Routing.h
@@ -6,6 +6,7 @@
 #include "routing/Attempts.h"
 #include "routing/CallChain.h"
 #include "routing/CallOutcome.h"
+#include "routing/ClientDeadlines.h"
 #include "routing/Hedging.h"
 #include "routing/RouteTable.h"
 #include "routing/SplitChoice.h"
--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -129,10 +129,11 @@
     Duration finish = serviceTime + roundTrip;
     double failures = 0;
     if (stats != nullptr) {
-      finish += ExpectedQueueDelay(*stats, serviceTime, aNow);
+      finish += ExpectedQueueDelay(*stats, aQuery.costClass, serviceTime, aNow);
       if (HasLargeAnswers(aQuery.costClass)) {
-        finish += std::max(Duration::zero(),
-                           stats->queueEstimate.linkDelay - (aNow - stats->queueEstimateAt));
+        finish +=
+          std::max(Duration::zero(),
+                   stats->lastEstimate.estimate.linkDelay - (aNow - stats->lastEstimate.at));
       }
       failures = stats->failureRate *
                  std::exp2(-HalfLives(aNow - stats->failureRateAt, kFailureRateHalfLife));
@@ -165,16 +166,19 @@
 }
 
 Duration UpstreamChoice::ExpectedQueueDelay(const UpstreamStats& aStats,
+                                            const std::string& aCostClass,
                                             Duration aServiceTime,
                                             TimePoint aNow) const
 {
+  auto ofClass = aStats.estimates.find(aCostClass);
+  const ReceivedEstimate& received =
+    ofClass == aStats.estimates.end() ? aStats.lastEstimate : ofClass->second;
   // The queue is assumed to have shortened by the time since the estimate. Attempts that this node
   // has started since then wait behind it.
   Duration queueDelay =
-    std::max(Duration::zero(), aStats.queueEstimate.queueDelay - (aNow - aStats.queueEstimateAt));
-  int64_t slots = std::max<int64_t>(1, aStats.queueEstimate.slots);
-  int64_t behind =
-    std::max<int64_t>(0, aStats.attemptsSinceEstimate - aStats.queueEstimate.freeSlots);
+    std::max(Duration::zero(), received.estimate.queueDelay - (aNow - received.at));
+  int64_t slots = std::max<int64_t>(1, received.estimate.slots);
+  int64_t behind = std::max<int64_t>(0, received.attemptsSince - received.estimate.freeSlots);
   return queueDelay + aServiceTime * behind / slots;
 }
 
@@ -186,7 +190,7 @@
   if (known == aStats.networkRoundTrip.end()) {
     return Duration::zero();
   }
-  double weight = std::exp2(-HalfLives(aNow - aStats.queueEstimateAt, kEstimateHalfLife));
+  double weight = std::exp2(-HalfLives(aNow - aStats.lastEstimate.at, kEstimateHalfLife));
   return Duration(static_cast<int64_t>(weight * static_cast<double>(known->second.count())));
 }
 
@@ -205,7 +209,7 @@
     return meanServiceTime;
   }
   // The difference from the mean decays, so that an upstream that was slow is tried again.
-  double weight = std::exp2(-HalfLives(aNow - aStats->queueEstimateAt, kEstimateHalfLife));
+  double weight = std::exp2(-HalfLives(aNow - aStats->lastEstimate.at, kEstimateHalfLife));
   double excess = static_cast<double>((known->second - meanServiceTime).count());
   return meanServiceTime + Duration(static_cast<int64_t>(weight * excess));
 }
@@ -246,7 +250,7 @@
     auto stats = upstreamStats_.find(id);
     if (member.service == aQuery.service && AcceptsWork(member) && stats != upstreamStats_.end()) {
       Duration serviceTime = ExpectedServiceTime(&stats->second, aQuery.costClass, aNow);
-      Duration queueDelay = ExpectedQueueDelay(stats->second, serviceTime, aNow);
+      Duration queueDelay = ExpectedQueueDelay(stats->second, aQuery.costClass, serviceTime, aNow);
       shortest = std::min(shortest.value_or(queueDelay), queueDelay);
     }
   }
@@ -257,7 +261,10 @@
 {
   UpstreamStats& stats = upstreamStats_[aMember];
   ++stats.outstanding;
-  ++stats.attemptsSinceEstimate;
+  ++stats.lastEstimate.attemptsSince;
+  for (auto& [costClass, received] : stats.estimates) {
+    ++received.attemptsSince;
+  }
 }
 
 void UpstreamChoice::RecordResult(UpstreamStats& aStats,
@@ -271,9 +278,8 @@
   if (!aResult.queueEstimate.has_value()) {
     return;
   }
-  aStats.queueEstimate = *aResult.queueEstimate;
-  aStats.queueEstimateAt = aNow;
-  aStats.attemptsSinceEstimate = 0;
+  aStats.lastEstimate = ReceivedEstimate{ *aResult.queueEstimate, aNow, 0 };
+  aStats.estimates[aResult.costClass] = aStats.lastEstimate;
   aStats.serviceTime[aResult.costClass] = aResult.queueEstimate->serviceTime;
   if (aResult.networkRoundTrip.has_value()) {
     Duration& roundTrip = aStats.networkRoundTrip[aResult.costClass];
--- a/src/routing/UpstreamChoice.h
+++ b/src/routing/UpstreamChoice.h
@@ -121,6 +121,13 @@
                               TimePoint aNow) const;
 
 private:
+  /// A queue estimate, when it arrived, and the attempts started since.
+  struct ReceivedEstimate
+  {
+    QueueEstimate estimate;
+    TimePoint at;
+    int64_t attemptsSince = 0;
+  };
   struct UpstreamStats
   {
     int64_t outstanding = 0;
@@ -132,10 +139,10 @@
     TimePoint latencyAt;
     uint64_t incarnation = 0;
     TimePoint firstSeen;
-    /// Its last queue estimate, when that arrived, and the attempts started since.
-    QueueEstimate queueEstimate;
-    TimePoint queueEstimateAt;
-    int64_t attemptsSinceEstimate = 0;
+    /// Its last queue estimate, and the last one by cost class: cheap calls go first in a queue, so
+    /// they wait much less than others.
+    ReceivedEstimate lastEstimate;
+    std::map<std::string, ReceivedEstimate> estimates;
     /// Its service time, by cost class.
     std::map<std::string, Duration> serviceTime;
     /// Smoothed network round trip, by cost class: large answers take long over a slow link.
@@ -158,6 +165,7 @@
   int64_t Load(const Member& aMember) const;
   double ExpectedAnswerTime(const Member& aMember, TimePoint aNow) const;
   Duration ExpectedQueueDelay(const UpstreamStats& aStats,
+                              const std::string& aCostClass,
                               Duration aServiceTime,
                               TimePoint aNow) const;
   bool HasLargeAnswers(const std::string& aCostClass) const;
