--- a/src/admission/TargetQueue.cpp
+++ b/src/admission/TargetQueue.cpp
@@ -102,8 +102,8 @@
       return aNow + LikelyServiceTime(aCall.costClass, aNow) > LatestUsefulEnd(aCall, aNow);
     };
     auto comesFirst = [&](const CallArrived& aA, const CallArrived& aB) {
-      bool isCheapA = IsCheap(aA.costClass, aNow);
-      if (isCheapA != IsCheap(aB.costClass, aNow)) {
+      bool isCheapA = GoesFirst(aA, aNow);
+      if (isCheapA != GoesFirst(aB, aNow)) {
         return isCheapA;
       }
       bool isLateA = isLate(aA);
@@ -117,7 +117,7 @@
     if (AccountOrder::AppliesTo(waiting_)) {
       auto isOfSameKind = [&, chosen = *first](const CallArrived& aCall) {
         return aCall.priority == chosen.priority && isLate(aCall) == isLate(chosen) &&
-               IsCheap(aCall.costClass, aNow) == IsCheap(chosen.costClass, aNow);
+               GoesFirst(aCall, aNow) == GoesFirst(chosen, aNow);
       };
       first = std::min_element(
         waiting_.begin(), waiting_.end(), [&](const CallArrived& aA, const CallArrived& aB) {
@@ -242,7 +242,7 @@
   // On average the next slot becomes free after half of the mean remaining service time.
   Duration ahead = RemainingServiceTime(aNow) / 2;
   for (const CallArrived& call : waiting_) {
-    if (LatestStart(call, aNow) <= aLatestStart || IsCheap(call.costClass, aNow)) {
+    if (LatestStart(call, aNow) <= aLatestStart || GoesFirst(call, aNow)) {
       ahead += ExpectedServiceTime(call.costClass, aNow);
     }
   }
@@ -251,7 +251,7 @@
 
 Duration TargetQueue::ExpectedQueueDelayOf(const CallArrived& aCall, TimePoint aNow) const
 {
-  if (IsCheap(aCall.costClass, aNow)) {
+  if (GoesFirst(aCall, aNow)) {
     return ExpectedQueueDelay(TimePoint::min(), aNow);
   }
   TimePoint latestStart = LatestStart(aCall, aNow);
@@ -267,7 +267,7 @@
   Duration ahead = RemainingServiceTime(aNow) / 2;
   std::vector<const CallArrived*> peers;
   for (const CallArrived& call : waiting_) {
-    bool isCheap = IsCheap(call.costClass, aNow);
+    bool isCheap = GoesFirst(call, aNow);
     if (!isCheap && call.priority == aCall.priority) {
       peers.push_back(&call);
     } else if (isCheap || goesBefore(call)) {
@@ -300,9 +300,15 @@
   return count > 0 && ExpectedServiceTime(aCostClass, aNow) * kCheapDivisor < others / count;
 }
 
+bool TargetQueue::GoesFirst(const CallArrived& aCall, TimePoint aNow) const
+{
+  // An account that sends many cheap calls would otherwise take the slots of all others.
+  return aCall.account.empty() && IsCheap(aCall.costClass, aNow);
+}
+
 TimePoint TargetQueue::LatestUsefulEnd(const CallArrived& aCall, TimePoint aNow) const
 {
-  return IsCheap(aCall.costClass, aNow) ? aCall.deadline : std::min(aCall.target, aCall.deadline);
+  return GoesFirst(aCall, aNow) ? aCall.deadline : std::min(aCall.target, aCall.deadline);
 }
 
 TimePoint TargetQueue::LatestStart(const CallArrived& aCall, TimePoint aNow) const
--- a/src/admission/TargetQueue.h
+++ b/src/admission/TargetQueue.h
@@ -7,8 +7,8 @@
 /// with it.
 ///
 /// Calls of client accounts of the same priority share the slots fairly: the order above decides of
-/// which kind the next call is, and `AccountOrder` of which account. Without accounts it has no
-/// effect.
+/// which kind the next call is, and `AccountOrder` of which account. Cheap calls of an account do
+/// not go first. Without accounts this has no effect.
 ///
 /// A call that cannot meet its target behind the calls that go before it, or would wait longer than
 /// its `maxQueueDelay`, is refused on arrival, so that its caller can retry at another upstream in
@@ -77,9 +77,11 @@
   /// Whether the expected service time of a cost class is small beside that of the running calls of
   /// other cost classes.
   bool IsCheap(const CostClass& aCostClass, TimePoint aNow) const;
-  /// The deadline of a cheap call; for any other call its latency target or its deadline, whichever
-  /// is earlier. A call that is expected to end later is refused on arrival; if it already waits,
-  /// it runs after the calls that can still end in time.
+  /// Whether the call is cheap and has no account. The calls that other calls wait for have none.
+  bool GoesFirst(const CallArrived& aCall, TimePoint aNow) const;
+  /// The deadline of a cheap call without an account; for any other call its latency target or its
+  /// deadline, whichever is earlier. A call that is expected to end later is refused on arrival; if
+  /// it already waits, it runs after the calls that can still end in time.
   TimePoint LatestUsefulEnd(const CallArrived& aCall, TimePoint aNow) const;
   /// Sum of the expected remaining service times of the running calls.
   Duration RemainingServiceTime(TimePoint aNow) const;
--- a/test/property/AccountsShareSlots.cpp
+++ b/test/property/AccountsShareSlots.cpp
@@ -6,7 +6,8 @@
 /// of the slots, the largest at 7.5 times its rate; accounts-small, 60 accounts of 1 call a second
 /// beside 3 that each ask for all slots; accounts-retries, one account that asks for 1.5 times the
 /// slots and sends each refused call again after 2 ms, up to 20 times; accounts-cost, two accounts
-/// that each ask for more than all slots with calls of 10 and 40 ms.
+/// that each ask for more than all slots with calls of 10 and 40 ms; accounts-short, an account
+/// that asks for 1.5 times the slots with calls of 5 ms beside 10 that use half of them with 50 ms.
 #include "support/Check.h"
 
 #include "admission/Admission.h"
@@ -253,6 +254,19 @@
   }
 }
 
+Test(accounts_share_slots, short_calls_of_a_hot_account_do_not_go_before_all_others)
+{
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    std::vector<Sender> senders = { Sender{ "hot", 1200, milliseconds(5) } };
+    for (int i = 0; i < 10; ++i) {
+      senders.push_back(Sender{ fmt::format("other{}", i), 4, milliseconds(50) });
+    }
+    auto results = Load(seed).Play(senders);
+    double others = ShareOfOthers(results, "hot");
+    cr_assert_geq(others, 0.98, "%f", others);
+  }
+}
+
 Test(accounts_share_slots, without_accounts_the_order_does_not_depend_on_the_caller)
 {
   CHECK_PROPERTY("any load of two caller services", [] {
