Enforce usage caps: AccountCapsService, tokens of calls, settings

A call takes a token before its first send; without one it is answered 429 (over-cap, not run) with Retry-After. The token of a call that reached no upstream is returned. Without the setting caps nothing is enforced.

--- a/src/dandeliond/CallInProgress.h
+++ b/src/dandeliond/CallInProgress.h
@@ -46,6 +46,10 @@
   Timer hedgeTimer;
   /// The account that sent the call, from the configuration of `routes`; null for an anonymous one.
   const AccountSpec* account = nullptr;
+  /// The token of the call's account, which all its attempts use. A call of an account without a
+  /// cap holds one, too.
+  bool hasToken = false;
+  bool mayHaveReachedUpstream = false;
 };
 
 } // namespace dandelion
--- a/src/dandeliond/CallMessages.cpp
+++ b/src/dandeliond/CallMessages.cpp
@@ -145,8 +145,10 @@
     return;
   }
   bool isRouted = aCall.route.route != nullptr;
+  // An account far above its cap would otherwise displace the lines about other calls.
+  bool isOverCap = aAnswer.error == ErrorKind::OverCap;
   LogRequest(LogPart::Calls,
-             LogLevel::Info,
+             isOverCap ? LogLevel::Debug : LogLevel::Info,
              aCall.request.id,
              "Answered {} after {} ms and {} asks: {}. Route {} of version {}, service {}.",
              NameOf(aAnswer.outcome),
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -2,6 +2,7 @@
 
 #include "dandeliond/CallIdentity.h"
 #include "dandeliond/CallMessages.h"
+#include "dandeliond/CallTokens.h"
 
 #include <algorithm>
 
@@ -38,6 +39,7 @@
   membership_ = &registry.Find<Membership>(ServiceName::Membership);
   spreading_ = &registry.Find<Spreading>(ServiceName::Spreading);
   carrier_ = &registry.Find<Carrier>(ServiceName::Carrier);
+  accountCaps_ = &registry.Find<AccountCaps>(ServiceName::AccountCaps);
   metrics_ = &registry.Find<Metrics>(ServiceName::Metrics);
   membership_->AddListener([this] {
     if (context_.settings.environment == EnvironmentName::Platform) {
@@ -109,9 +111,30 @@
     context_.loop.After(call.limits.deadline - now, [this, aId] { OnDeadline(aId); });
   call.clientBeganAt =
     call.beganAt - clientDeadlines_.Observe(policy.name, call.request.limits.timeLeft);
-  retryBudgets_.For(call.service).OnCall();
-  ScheduleHedge(aId);
-  SendNext(aId);
+  TakeToken(aId);
+}
+
+void CallsService::TakeToken(CallId aId)
+{
+  std::string account = AccountOf(calls_.at(aId));
+  accountCaps_->TryTake(account, [this, aId, account](bool aIsTaken, Duration aWait) {
+    auto found = calls_.find(aId);
+    if (found == calls_.end()) {
+      // The call was cancelled, or its time has passed.
+      if (aIsTaken) {
+        accountCaps_->Return(account);
+      }
+      return;
+    }
+    if (!aIsTaken) {
+      Answer(aId, OverCapRefusal(account, aWait, random_()));
+      return;
+    }
+    found->second.hasToken = true;
+    retryBudgets_.For(found->second.service).OnCall();
+    ScheduleHedge(aId);
+    SendNext(aId);
+  });
 }
 
 bool CallsService::Resolve(CallInProgress& aCall, CallerAnswer& aRefusal)
@@ -300,6 +323,7 @@
     aCall.tried.OnShortWaitRefused(found->second.member);
   }
   aCall.openAttempts.erase(found);
+  NoteAttemptEnd(aCall, aReply);
   // An answer of the upstream is kept when a later attempt ends without one.
   if (aReply.outcome == CallOutcome::Ran || aCall.lastReply.outcome != CallOutcome::Ran) {
     aCall.lastReply = aReply;
@@ -342,6 +366,7 @@
 {
   auto found = calls_.find(aId);
   if (found != calls_.end()) {
+    ReturnUnusedToken(found->second);
     CancelAttempts(found->second);
     calls_.erase(found);
   }
@@ -393,6 +418,14 @@
   }
 }
 
+void CallsService::ReturnUnusedToken(CallInProgress& aCall)
+{
+  if (HasUnusedToken(aCall)) {
+    aCall.hasToken = false;
+    accountCaps_->Return(AccountOf(aCall));
+  }
+}
+
 void CallsService::CancelAttempts(CallInProgress& aCall)
 {
   TimePoint now = context_.loop.Now();
@@ -411,15 +444,16 @@
   auto found = calls_.find(aId);
   CallInProgress call = std::move(found->second);
   calls_.erase(found);
+  ReturnUnusedToken(call);
   CancelAttempts(call);
   bool isShed = aAnswer.outcome == CallOutcome::NotRun && call.route.policy != nullptr &&
                 aAnswer.error != ErrorKind::Unauthenticated;
-  if (call.route.policy != nullptr) {
-    bool hasFoundNoRoom = aAnswer.error == ErrorKind::Overloaded;
+  bool hasFoundNoRoom = aAnswer.error == ErrorKind::Overloaded;
+  if (call.route.policy != nullptr && (hasFoundNoRoom || call.tried.Sends() > 0)) {
     limiter_.OnCallEnded(
       call.service, call.route.policy->name, hasFoundNoRoom, context_.loop.Now());
   }
-  if (isShed) {
+  if (isShed && !aAnswer.retryAfter.has_value()) {
     Duration wait =
       choice_.ShortestQueueDelay(membership_->Table(), QueryFor(call), context_.loop.Now());
     aAnswer.retryAfter = RetryAfter(wait, random_());
--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -3,6 +3,7 @@
 #ifndef DANDELION_DANDELIOND_CALLS_SERVICE_H
 #define DANDELION_DANDELIOND_CALLS_SERVICE_H
 
+#include "dandeliond/AccountServices.h"
 #include "dandeliond/CallInProgress.h"
 #include "dandeliond/MembershipServices.h"
 #include "dandeliond/ReleaseServices.h"
@@ -36,6 +37,8 @@
   void Start(CallId aId);
   /// Whether the service of the call has too little room at present.
   bool IsLimited(const CallInProgress& aCall) const;
+  /// Sends the call once its account has a token for it.
+  void TakeToken(CallId aId);
   ChoiceQuery QueryFor(const CallInProgress& aCall) const;
   /// The upstream of the next attempt, or null where none may be tried.
   const Member* ChooseFor(const CallInProgress& aCall);
@@ -51,6 +54,7 @@
   void Reroute(CallId aId, int aChecksLeft);
   /// Answers the call now with what is known of its outcome.
   void OnDeadline(CallId aId);
+  void ReturnUnusedToken(CallInProgress& aCall);
   void CancelAttempts(CallInProgress& aCall);
   void Answer(CallId aId, CallerAnswer aAnswer);
 
@@ -68,6 +72,7 @@
   Membership* membership_ = nullptr;
   Spreading* spreading_ = nullptr;
   Carrier* carrier_ = nullptr;
+  AccountCaps* accountCaps_ = nullptr;
   Metrics* metrics_ = nullptr;
   CallId nextCall_ = 1;
   AttemptId nextAttempt_ = 1;
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -1,5 +1,6 @@
 #include "dandeliond/Node.h"
 
+#include "dandeliond/AccountCapsService.h"
 #include "dandeliond/AdmissionService.h"
 #include "dandeliond/CallsService.h"
 #include "dandeliond/CarrierService.h"
@@ -184,6 +185,7 @@
   add(ServiceName::Submissions, std::make_unique<SubmissionsService>(context_));
   add(ServiceName::Admission, std::make_unique<AdmissionService>(context_));
   add(ServiceName::Carrier, std::make_unique<CarrierService>(context_));
+  add(ServiceName::AccountCaps, std::make_unique<AccountCapsService>(context_, aSeed + 5));
   add(ServiceName::Calls, std::make_unique<CallsService>(context_, aSeed + 2));
   add(ServiceName::Front, std::make_unique<FrontService>(context_));
   if (settings_.readiness.has_value()) {
--- a/src/dandeliond/NodeSettings.cpp
+++ b/src/dandeliond/NodeSettings.cpp
@@ -75,6 +75,16 @@
   }
 }
 
+void CheckCaps(std::vector<std::string>& aErrors, const std::optional<CapSettings>& aCaps)
+{
+  if (aCaps.has_value() && !(aCaps->windowS > 0)) {
+    aErrors.emplace_back("caps.window_s must be above 0");
+  }
+  if (aCaps.has_value() && !(aCaps->overage >= 0 && aCaps->slack >= 0)) {
+    aErrors.emplace_back("caps.overage and caps.slack must not be negative");
+  }
+}
+
 std::vector<std::string> ValidateSettings(const NodeSettings& aSettings)
 {
   std::vector<std::string> errors;
@@ -116,6 +126,7 @@
       errors.emplace_back("rollouts may be set only where environment is \"platform\"");
     }
   }
+  CheckCaps(errors, aSettings.caps);
   CheckKeys(errors, "keys.nodes", aSettings.keys.nodes);
   CheckKeys(errors, "keys.operators", aSettings.keys.operators);
   CheckEndpointConflicts(errors, aSettings);
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -80,6 +80,17 @@
   double rollbackMs = 5000;
 };
 
+/// How the usage caps of client accounts are enforced.
+struct CapSettings
+{
+  /// A cap limits the calls in any window of this length. It is the reference for the tolerance;
+  /// the caps themselves are enforced continuously.
+  double windowS = 5;
+  /// Calls beyond the cap in a window: as a share of the cap, and a number.
+  double overage = 0.1;
+  double slack = 20;
+};
+
 struct StoreSettings
 {
   std::vector<Endpoint> servers;
@@ -146,6 +157,8 @@
   MachineSettings machine;
   /// Without them, versions of upstreams are ignored and orders of rollouts are not read.
   std::optional<RolloutSettings> rollouts;
+  /// Caps of accounts are enforced only where this is set.
+  std::optional<CapSettings> caps;
   /// The whole mesh is started for the first time.
   bool isFirstStart = false;
 };
@@ -182,6 +195,14 @@
   aVisitor.OptionalField("rollback_ms", aSettings.rollbackMs);
 }
 
+template<class Visitor>
+void VisitFields(Visitor& aVisitor, CapSettings& aSettings)
+{
+  aVisitor.OptionalField("window_s", aSettings.windowS);
+  aVisitor.OptionalField("overage", aSettings.overage);
+  aVisitor.OptionalField("slack", aSettings.slack);
+}
+
 template<class Visitor>
 void VisitFields(Visitor& aVisitor, KeySettings& aSettings)
 {
@@ -218,6 +239,7 @@
   aVisitor.OptionalField("retries", aSettings.retries);
   aVisitor.OptionalField("machine", aSettings.machine);
   aVisitor.OptionalField("rollouts", aSettings.rollouts);
+  aVisitor.OptionalField("caps", aSettings.caps);
   aVisitor.OptionalField("first_start", aSettings.isFirstStart);
 }
 
--- a/src/kernel/ErrorKind.cpp
+++ b/src/kernel/ErrorKind.cpp
@@ -33,6 +33,7 @@
   { ErrorKind::Withdrawn, 503, absl::StatusCode::kUnavailable, true, 5 },
   { ErrorKind::NoUpstream, 503, absl::StatusCode::kUnavailable, true, 7 },
   { ErrorKind::Overloaded, 503, absl::StatusCode::kResourceExhausted, true, 7 },
+  { ErrorKind::OverCap, 429, absl::StatusCode::kResourceExhausted, true, 7 },
   { ErrorKind::Leaving, 503, absl::StatusCode::kUnavailable, true, 7 },
   { ErrorKind::Unreachable, 502, absl::StatusCode::kUnavailable, true, 7 },
   { ErrorKind::DeadlineExceeded, 504, absl::StatusCode::kDeadlineExceeded, false, 8 },
--- a/src/kernel/Log.h
+++ b/src/kernel/Log.h
@@ -45,6 +45,7 @@
   Upstream,
   Admission,
   Calls,
+  Accounts,
   Front,
   Operator,
   Tool,
@@ -58,8 +59,9 @@
     { LogPart::Releases, "releases" },   { LogPart::Membership, "membership" },
     { LogPart::Spreading, "spreading" }, { LogPart::Links, "links" },
     { LogPart::Upstream, "upstream" },   { LogPart::Admission, "admission" },
-    { LogPart::Calls, "calls" },         { LogPart::Front, "front" },
-    { LogPart::Operator, "operator" },   { LogPart::Tool, "tool" },
+    { LogPart::Calls, "calls" },         { LogPart::Accounts, "accounts" },
+    { LogPart::Front, "front" },         { LogPart::Operator, "operator" },
+    { LogPart::Tool, "tool" },
   };
 };
 
--- a/test/error/SettingsAreValidated.cpp
+++ b/test/error/SettingsAreValidated.cpp
@@ -51,12 +51,15 @@
     "front": { "ip": "10.0.0.1", "port": 7001 },
     "peers": { "ip": "10.0.0.1", "port": 7001 },
     "operators": { "ip": "10.0.0.1", "port": 7003 },
-    "store": { "servers": [], "region": "r" }
+    "store": { "servers": [], "region": "r" },
+    "caps": { "window_s": 0, "slack": -1 }
   })";
   std::string reason = MessageOf(ParseNodeSettings(text).status());
   for (const char* part : { "upstream.ip \"localhost\" is not an IPv4 address",
                             "front and peers are both",
-                            "store.servers is empty" }) {
+                            "store.servers is empty",
+                            "caps.window_s must be above 0",
+                            "caps.overage and caps.slack must not be negative" }) {
     cr_assert_neq(reason.find(part), std::string::npos, "%s lacks %s", reason.c_str(), part);
   }
 }
