--- a/src/platform/RolloutOrders.cpp
+++ b/src/platform/RolloutOrders.cpp
@@ -1,6 +1,5 @@
 #include "platform/RolloutOrders.h"
 
-#include "codec/Codec.h"
 #include "platform/ProtocolNames.h"
 
 namespace dandelion::platform {
@@ -22,7 +21,7 @@
 void VisitFields(Visitor& aVisitor, OrderFields& aFields)
 {
   aVisitor.Field("service", aFields.service, MaxTextBytes{ kMaxOrderBytes });
-  aVisitor.Field("target-version", aFields.targetVersion, MaxTextBytes{ kMaxOrderBytes });
+  aVisitor.Field("target-version", aFields.targetVersion, MaxTextBytes{ kMaxVersionBytes });
   aVisitor.Field("duration", aFields.durationSeconds);
 }
 
@@ -44,12 +43,22 @@
 
 } // namespace
 
+void NumberToText(Json& aObject, const char* aName)
+{
+  bool isNumber =
+    aObject.is_object() && aObject.contains(aName) && aObject[aName].is_number_integer();
+  if (isNumber) {
+    aObject[aName] = aObject[aName].dump();
+  }
+}
+
 absl::StatusOr<RolloutOrder> ReadRolloutOrder(const KeyValue& aItem)
 {
   auto json = ParseJson(aItem.value, kMaxOrderBytes);
   if (!json.ok()) {
     return json.status();
   }
+  NumberToText(*json, "target-version");
   auto fields = FromJson<OrderFields>(*json, ErrorKind::InvalidNote, UnknownKeys::Ignored);
   if (!fields.ok()) {
     return fields.status();
--- a/src/platform/RolloutOrders.h
+++ b/src/platform/RolloutOrders.h
@@ -2,11 +2,19 @@
 #ifndef DANDELION_PLATFORM_ROLLOUT_ORDERS_H
 #define DANDELION_PLATFORM_ROLLOUT_ORDERS_H
 
+#include "codec/Codec.h"
 #include "versions/Versions.h"
 #include "wire/Wire.h"
 
 namespace dandelion::platform {
 
+/// Versions are announced in member records, which have to fit in datagrams. An upstream with a
+/// longer one counts as one that names none.
+constexpr size_t kMaxVersionBytes = 128;
+
+/// Makes a field that is a whole number a text; versions may be written as either.
+void NumberToText(Json& aObject, const char* aName);
+
 /// Parses an order; unknown fields are ignored. Errors: `InvalidNote`.
 absl::StatusOr<RolloutOrder> ReadRolloutOrder(const KeyValue& aItem);
 
--- a/src/platform/UpstreamReports.cpp
+++ b/src/platform/UpstreamReports.cpp
@@ -1,9 +1,12 @@
 #include "platform/UpstreamReports.h"
 
 #include "platform/ProtocolNames.h"
+#include "platform/RolloutOrders.h"
 
 #include "absl/strings/match.h"
 
+#include <algorithm>
+
 namespace dandelion::platform {
 
 namespace {
@@ -11,9 +14,7 @@
 /// Maximum size of a report's body; a complete one has a few hundred bytes.
 constexpr size_t kMaxReportBytes = 16 * 1024;
 constexpr int64_t kMaxUpstreamSlots = 100000;
-/// Versions are announced in member records, which have to fit in datagrams.
-constexpr size_t kMaxVersionBytes = 128;
-constexpr int64_t kMaxWarmupMs = 3600 * 1000;
+constexpr double kMaxWarmupMs = 3600 * 1000;
 
 struct ReportFields
 {
@@ -24,7 +25,7 @@
   int64_t sequence = 0;
   std::optional<int64_t> born;
   std::string version;
-  int64_t warmupLeftMs = 0;
+  double warmupLeftMs = 0;
 };
 
 template<class Visitor>
@@ -35,8 +36,8 @@
   aVisitor.Field("capacity", aFields.capacity, IntegerRange{ 1, kMaxUpstreamSlots });
   aVisitor.Field("sequence", aFields.sequence, IntegerRange{ 0, INT64_MAX });
   aVisitor.OptionalField("born", aFields.born);
-  aVisitor.OptionalField("version", aFields.version, MaxTextBytes{ kMaxVersionBytes });
-  aVisitor.OptionalField("warmup-left", aFields.warmupLeftMs, IntegerRange{ 0, kMaxWarmupMs });
+  aVisitor.OptionalField("version", aFields.version);
+  aVisitor.OptionalField("warmup-left", aFields.warmupLeftMs);
 }
 
 /// The body of an upstream's last report (DELETE), which may also be empty.
@@ -58,6 +59,7 @@
   if (!json.ok()) {
     return MakeError(ErrorKind::BrokenMessage, MessageOf(json.status()));
   }
+  NumberToText(*json, "version");
   return FromJson<Fields>(*json, ErrorKind::BrokenMessage, UnknownKeys::Ignored);
 }
 
@@ -97,8 +99,10 @@
   report.slots = fields->capacity;
   report.sequence = fields->sequence;
   report.startTimeMs = fields->born;
-  report.softwareVersion = fields->version;
-  report.warmupLeft = milliseconds(fields->warmupLeftMs);
+  // A report tells first of all whether the upstream accepts work, so odd values do not reject it.
+  report.softwareVersion = fields->version.size() <= kMaxVersionBytes ? fields->version : "";
+  double warmupMs = std::clamp(fields->warmupLeftMs, 0.0, kMaxWarmupMs);
+  report.warmupLeft = milliseconds(static_cast<int64_t>(warmupMs));
   return report;
 }
 
--- a/src/versions/VersionGate.cpp
+++ b/src/versions/VersionGate.cpp
@@ -22,10 +22,10 @@
   isUnlimited_ = false;
 }
 
-void VersionGate::OnMembers(bool isSameVersionRunning, bool isOtherVersionRunning, TimePoint aNow)
+void VersionGate::OnMembers(bool aIsSameVersionRunning, bool aIsOtherVersionRunning, TimePoint aNow)
 {
-  isSameVersionRunning_ = isSameVersionRunning;
-  isOtherVersionRunning_ = isOtherVersionRunning;
+  isSameVersionRunning_ = aIsSameVersionRunning;
+  isOtherVersionRunning_ = aIsOtherVersionRunning;
   if (isOtherVersionRunning_) {
     aloneSince_.reset();
   } else if (!aloneSince_.has_value()) {
--- a/src/versions/VersionGate.h
+++ b/src/versions/VersionGate.h
@@ -22,7 +22,7 @@
                   const std::string& aUpstreamId,
                   TimePoint aNow);
   /// Sets which other upstreams of the service are known to accept calls.
-  void OnMembers(bool isSameVersionRunning, bool isOtherVersionRunning, TimePoint aNow);
+  void OnMembers(bool aIsSameVersionRunning, bool aIsOtherVersionRunning, TimePoint aNow);
   /// Handles a permit of a judge, or one made from this node's own read of the store.
   void OnPermit(const RolloutPermit& aPermit, TimePoint aNow);
   /// The whole mesh is started for the first time, so no order can exist.
--- a/test/error/PlatformInputValidation.cpp
+++ b/test/error/PlatformInputValidation.cpp
@@ -201,3 +201,33 @@
   cr_assert_not(IsAnswerTo(
     MakeCall(), { { "Dandelionvale-Request-Id", "id-0" } }, platform::MakeCallHeaderNames()));
 }
+
+/// Guards against an order that is taken for another service, and against a report that is rejected
+/// as a whole for an odd version, which would keep its upstream closed.
+Test(rollout_orders, are_read_only_if_they_name_the_service_of_their_key)
+{
+  auto read = [](const std::string& aKey, const std::string& aValue) {
+    return platform::ReadRolloutOrder(KeyValue{ aKey, aValue, 5 });
+  };
+  std::string key = platform::RolloutOrderKey("s");
+  auto order = read(key, R"({"service":"s","target-version":"2","duration":12.5,"by":"x"})");
+  CheckOk(order.status());
+  cr_assert(order->duration == milliseconds(12500));
+  cr_assert_eq(order->revision, 5);
+  for (const char* invalid : { R"({"service":"t","target-version":"2","duration":9})",
+                               R"({"service":"s","target-version":"","duration":9})",
+                               R"({"service":"s","target-version":"2","duration":0})",
+                               R"({"service":"s","target-version":"2"})" }) {
+    cr_assert_not(read(key, invalid).ok(), "%s", invalid);
+  }
+  RolloutRecord record;
+  record.targetVersion = "2";
+  record.stage = RolloutStage::RolledBack;
+  Json status = ParseForeignJson(platform::MakeRolloutStatus("s", record).value);
+  cr_assert_eq(status["state"].get<std::string>(), "rolled_back");
+  std::string report =
+    R"({"service":"s","state":"ready","capacity":1,"sequence":1,"version":7,"warmup-left":2.5})";
+  auto parsed = platform::ReadReport(MakeReportRequest("PUT", "/v1/instances/u", report));
+  CheckOk(parsed.status());
+  cr_assert_eq(parsed->softwareVersion, "7");
+}
