dandelion accounts, and counters of calls by account

Operators could not see which accounts are in force or what they send. The listing was tested as a function, not through the tool.

--- a/src/dandelion/Commands.cpp
+++ b/src/dandelion/Commands.cpp
@@ -38,6 +38,7 @@
   { CommandName::Status, "status NOTE-ID [--watch]", "shows how far a note has been rolled out" },
   { CommandName::Config, "config", "shows the configuration in force on the queried node" },
   { CommandName::Nodes, "nodes", "lists the nodes known to the queried node" },
+  { CommandName::Accounts, "accounts", "lists the client accounts and their caps; shows no keys" },
   { CommandName::Explain, "explain METHOD PATH", "shows how a call would be routed, and why" },
   { CommandName::Explain,
     "explain --log FILE... REQUEST-ID",
@@ -242,6 +243,31 @@
   return 0;
 }
 
+int ShowAccounts(OperatorClient& aClient, const CommandOptions& aOptions)
+{
+  auto answer = aClient.SendForJson(HttpRequest{ "GET", "/v1/accounts", {}, "" }, kRequestTimeout);
+  if (!answer.ok()) {
+    return ReportError(answer.status());
+  }
+  if (aOptions.isJson) {
+    fmt::print("{}\n", answer->dump(2));
+    return 0;
+  }
+  fmt::print(
+    "{:<24}{:>6}{:>10}{:>14}{:>12}\n", "account", "keys", "priority", "calls per s", "burst");
+  for (const Json& account : answer->value("accounts", Json::array())) {
+    bool isCapped = account.value("rate_per_s", int64_t{ 0 }) > 0;
+    std::string priority = TextOf(account, "priority");
+    fmt::print("{:<24}{:>6}{:>10}{:>14}{:>12}\n",
+               TextOf(account, "name"),
+               TextOf(account, "keys"),
+               priority.empty() ? "route's" : priority,
+               isCapped ? TextOf(account, "rate_per_s") : "no limit",
+               isCapped ? TextOf(account, "burst") : "-");
+  }
+  return 0;
+}
+
 int Explain(OperatorClient& aClient, const CommandOptions& aOptions, const std::string& aPath)
 {
   auto answer =
@@ -407,6 +433,8 @@
       return argumentCount == 0 ? ShowText(aClient, "/v1/configuration") : reportArgumentCount(0);
     case CommandName::Nodes:
       return argumentCount == 0 ? ShowNodes(aClient, aOptions) : reportArgumentCount(0);
+    case CommandName::Accounts:
+      return argumentCount == 0 ? ShowAccounts(aClient, aOptions) : reportArgumentCount(0);
     case CommandName::Explain:
       if (aOptions.readsLogs) {
         return argumentCount >= 2
--- a/src/dandelion/Commands.h
+++ b/src/dandelion/Commands.h
@@ -16,6 +16,7 @@
   Status,
   Config,
   Nodes,
+  Accounts,
   Explain,
   Metrics,
   Help,
@@ -27,8 +28,9 @@
   static constexpr EnumName<CommandName> kTable[] = {
     { CommandName::Check, "check" },     { CommandName::Submit, "submit" },
     { CommandName::Status, "status" },   { CommandName::Config, "config" },
-    { CommandName::Nodes, "nodes" },     { CommandName::Explain, "explain" },
-    { CommandName::Metrics, "metrics" }, { CommandName::Help, "help" },
+    { CommandName::Nodes, "nodes" },     { CommandName::Accounts, "accounts" },
+    { CommandName::Explain, "explain" }, { CommandName::Metrics, "metrics" },
+    { CommandName::Help, "help" },
   };
 };
 
--- a/src/dandeliond/CallIdentity.cpp
+++ b/src/dandeliond/CallIdentity.cpp
@@ -4,6 +4,24 @@
 
 namespace dandelion {
 
+namespace {
+
+/// The metric label of an account. Quotes and backslashes in a name are escaped, as the text format
+/// of metrics demands.
+MetricLabel AccountLabel(const std::string& aName)
+{
+  std::string escaped;
+  for (char character : aName) {
+    if (character == '"' || character == '\\') {
+      escaped += '\\';
+    }
+    escaped += character;
+  }
+  return fmt::format("account=\"{}\"", escaped);
+}
+
+} // namespace
+
 absl::StatusOr<const AccountSpec*> FindSender(const AccountTable& aAccounts,
                                               const RouteSpec& aRoute,
                                               const CallerRequest& aRequest)
@@ -49,4 +67,31 @@
          aConfiguration.accounts.count(aCall.account) == 0;
 }
 
+void CountAnswer(Metrics& aMetrics, const CallInProgress& aCall, CallOutcome aOutcome)
+{
+  if (aCall.account == nullptr || aOutcome == CallOutcome::Unknown) {
+    return;
+  }
+  aMetrics.Count(aOutcome == CallOutcome::Ran ? CounterName::AccountCallsRan
+                                              : CounterName::AccountCallsNotRun,
+                 AccountLabel(aCall.account->name));
+}
+
+Json DescribeAccounts(const Configuration& aConfiguration)
+{
+  Json accounts = Json::array();
+  for (const auto& [name, account] : aConfiguration.accounts) {
+    const AccountSpec& spec = account.spec;
+    Json json = { { "name", name },
+                  { "keys", spec.keyDigests.size() },
+                  { "rate_per_s", spec.ratePerS },
+                  { "burst", spec.burst } };
+    if (spec.priority.has_value()) {
+      json["priority"] = *spec.priority;
+    }
+    accounts.push_back(std::move(json));
+  }
+  return Json{ { "version", aConfiguration.version }, { "accounts", std::move(accounts) } };
+}
+
 } // namespace dandelion
--- a/src/dandeliond/CallIdentity.h
+++ b/src/dandeliond/CallIdentity.h
@@ -24,6 +24,12 @@
 /// which the call was accepted. A call of an account that only lost a key may finish.
 bool IsSenderWithdrawn(const Configuration& aConfiguration, const OpenCall& aCall);
 
+/// Counts the answer to a call of an account.
+void CountAnswer(Metrics& aMetrics, const CallInProgress& aCall, CallOutcome aOutcome);
+
+/// The accounts with their caps, priorities and numbers of keys, for operators. Without keys.
+Json DescribeAccounts(const Configuration& aConfiguration);
+
 } // namespace dandelion
 
 #endif
--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -464,6 +464,7 @@
   metrics_->Observe(HistogramName::CallTime, label, latency);
   metrics_->Count(CounterName::CallsAnswered,
                   fmt::format("{},outcome=\"{}\"", label, NameOf(aAnswer.outcome)));
+  CountAnswer(*metrics_, call, aAnswer.outcome);
   if (aAnswer.outcome == CallOutcome::Ran) {
     hedging_.OnAnswered(call.service, latency);
   }
--- a/src/dandeliond/OperatorService.cpp
+++ b/src/dandeliond/OperatorService.cpp
@@ -1,5 +1,7 @@
 #include "dandeliond/OperatorService.h"
 
+#include "dandeliond/CallIdentity.h"
+
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/strip.h"
@@ -109,6 +111,8 @@
     ShowConfiguration(aExchange);
   } else if (request.target == "/v1/version") {
     ShowVersion(aExchange);
+  } else if (request.target == "/v1/accounts") {
+    aExchange->Reply(JsonResponse(200, DescribeAccounts(*releases_->Current())));
   } else if (request.target == "/v1/nodes") {
     ShowNodes(aExchange);
   } else if (absl::StartsWith(request.target, kExplainPath)) {
--- a/src/kernel/Metrics.h
+++ b/src/kernel/Metrics.h
@@ -29,6 +29,8 @@
   NotesUndecided,
   VersionsApplied,
   VersionCalls,
+  AccountCallsRan,
+  AccountCallsNotRun,
 };
 
 template<>
@@ -50,6 +52,8 @@
     { CounterName::NotesUndecided, "notes_undecided_total" },
     { CounterName::VersionsApplied, "versions_applied_total" },
     { CounterName::VersionCalls, "upstream_version_calls_total" },
+    { CounterName::AccountCallsRan, "account_calls_ran_total" },
+    { CounterName::AccountCallsNotRun, "account_calls_not_run_total" },
   };
 };
 
--- a/test/correctness/CallersAreIdentified.cpp
+++ b/test/correctness/CallersAreIdentified.cpp
@@ -8,6 +8,7 @@
 #include "support/Notes.h"
 
 #include "dandeliond/AdmissionService.h"
+#include "dandeliond/CallIdentity.h"
 #include "dandeliond/CallsService.h"
 #include "dandeliond/FrontService.h"
 #include "platform/Platform.h"
@@ -75,7 +76,7 @@
     settings.hedge = HedgeName::None;
     settings.front = LoopbackOf(1);
     context.headerNames = platform::MakeCallHeaderNames();
-    AddService<MetricsService>(registry, ServiceName::Metrics);
+    metrics = &AddService<MetricsService>(registry, ServiceName::Metrics);
     releases = &AddService<FakeReleases>(registry, ServiceName::Releases);
     auto& membership =
       AddService<FakeMembership>(registry, ServiceName::Membership, MakeMember("self", "s9", 1));
@@ -116,6 +117,7 @@
   NodeSettings settings;
   NodeContext context;
   HttpClient client;
+  MetricsService* metrics = nullptr;
   FakeReleases* releases = nullptr;
   BehindSpreading* spreading = nullptr;
   FakeCarrier* carrier = nullptr;
@@ -148,6 +150,22 @@
   cr_assert_eq(fixture.carrier->sent.back().priority, PolicySpec().priority);
 }
 
+Test(callers, are_counted_by_account_and_listed_without_digests)
+{
+  Fixture fixture;
+  fixture.configuration.accounts["a\"b"] = { MakeAccount("a\"b", "third"), 2 };
+  fixture.releases->Set(fixture.configuration);
+  for (const std::string key : { kKey, "third", "third" }) {
+    cr_assert_eq(fixture.Request("/r0/x", Fixture::WithKey(key)).response.status, 200);
+  }
+  std::string text = fixture.metrics->Render();
+  cr_assert_neq(text.find("account_calls_ran_total{account=\"one\"} 1"), std::string::npos);
+  cr_assert_neq(text.find("account_calls_ran_total{account=\"a\\\"b\"} 2"), std::string::npos);
+  std::string listed = DescribeAccounts(fixture.configuration).dump();
+  cr_assert_neq(listed.find("two"), std::string::npos);
+  cr_assert_eq(listed.find(DigestOfKey(kKey)), std::string::npos);
+}
+
 Test(callers, without_a_known_key_are_answered_401_and_not_run)
 {
   Fixture fixture;
@@ -245,6 +263,7 @@
   }
   cr_assert_not(fixture.carrier->sent.empty());
   seen += Encode(fixture.configuration);
+  seen += DescribeAccounts(fixture.configuration).dump() + fixture.metrics->Render();
   dup2(original, STDERR_FILENO);
   std::string log(static_cast<size_t>(lseek(file, 0, SEEK_END)), '\0');
   cr_assert_eq(pread(file, log.data(), log.size(), 0), static_cast<ssize_t>(log.size()));
