--- a/src/codec/CborFields.cpp
+++ b/src/codec/CborFields.cpp
@@ -12,12 +12,15 @@
 class NestingChecker
 {
 public:
-  explicit NestingChecker(std::string_view aBytes)
+  explicit NestingChecker(std::string_view aBytes, size_t aMinLargeBytes = SIZE_MAX)
     : bytes_(aBytes)
+    , minLargeBytes_(aMinLargeBytes)
   {
   }
 
   bool IsWithinLimit() { return CheckItem(0) && position_ == bytes_.size(); }
+  /// The first byte string of at least the given size that `IsWithinLimit` has met.
+  const std::optional<CborByteString>& LargeByteString() const { return large_; }
 
 private:
   static constexpr uint8_t kMajorTypeShift = 5;
@@ -50,6 +53,7 @@
     if (aDepth > kMaxNestingDepth || position_ >= bytes_.size()) {
       return false;
     }
+    size_t head = position_;
     uint8_t initialByte = static_cast<uint8_t>(bytes_[position_++]);
     uint8_t majorType = initialByte >> kMajorTypeShift;
     uint64_t argument = 0;
@@ -58,6 +62,10 @@
     }
     switch (majorType) {
       case 2: // Byte string.
+        if (!large_.has_value() && argument >= minLargeBytes_) {
+          large_ = CborByteString{ head, position_, argument };
+        }
+        return SkipBytes(argument);
       case 3: // Text string.
         return SkipBytes(argument);
       case 4: // Array.
@@ -91,11 +99,34 @@
   }
 
   std::string_view bytes_;
+  size_t minLargeBytes_;
   size_t position_ = 0;
+  std::optional<CborByteString> large_;
 };
 
 } // namespace
 
+std::optional<CborByteString> FindLargeByteString(std::string_view aBytes, size_t aMinBytes)
+{
+  NestingChecker checker(aBytes, aMinBytes);
+  checker.IsWithinLimit();
+  return checker.LargeByteString();
+}
+
+std::string CborByteStringHead(size_t aBytes)
+{
+  constexpr uint8_t kByteString = 0x40;
+  // Large bodies only: sizes of 16 or 32 bits.
+  constexpr uint8_t kTwoBytes = 25;
+  constexpr uint8_t kFourBytes = 26;
+  bool isWide = aBytes > UINT16_MAX;
+  std::string head(1, static_cast<char>(kByteString | (isWide ? kFourBytes : kTwoBytes)));
+  for (int shift = isWide ? 24 : 8; shift >= 0; shift -= 8) {
+    head += static_cast<char>((aBytes >> shift) & UINT8_MAX);
+  }
+  return head;
+}
+
 std::string ToCborBytes(const Json& aJson)
 {
   std::string bytes;
--- a/src/codec/CborFields.h
+++ b/src/codec/CborFields.h
@@ -5,10 +5,12 @@
 #ifndef DANDELION_CODEC_CBOR_FIELDS_H
 #define DANDELION_CODEC_CBOR_FIELDS_H
 
+#include "codec/SharedString.h"
 #include "kernel/Kernel.h"
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,10 +19,10 @@
 
 using Json = nlohmann::json;
 
-/// Raw bytes that are encoded as a CBOR byte string, such as the body of a call.
+/// Raw bytes that are encoded as a CBOR byte string, such as the body of a call. Copies share them.
 struct Bytes
 {
-  std::string data;
+  SharedString data;
 };
 
 /// Encodes the fields of a value that `VisitFields` passes to it.
@@ -47,7 +49,8 @@
     if constexpr (std::is_enum_v<T>) {
       return static_cast<int64_t>(aValue);
     } else if constexpr (std::is_same_v<T, Bytes>) {
-      return Json::binary(std::vector<uint8_t>(aValue.data.begin(), aValue.data.end()));
+      const std::string& bytes = aValue.data.Text();
+      return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
     } else if constexpr (std::is_integral_v<T>) {
       return aValue;
     } else if constexpr (std::is_same_v<T, std::string>) {
@@ -127,7 +130,7 @@
       aHasFailed = aHasFailed || !aJson.is_binary();
       if (!aHasFailed) {
         const auto& binary = aJson.get_binary();
-        aValue.data.assign(binary.begin(), binary.end());
+        aValue.data = std::string(binary.begin(), binary.end());
       }
     } else if constexpr (IsOptional<T>::value) {
       if (!aJson.is_null()) {
@@ -245,6 +248,20 @@
 /// nested too deeply.
 Json FromCborBytes(std::string_view aBytes);
 
+/// Where a byte string is in CBOR bytes: its head, the begin of its content and the size there is
+/// according to the head. The content may be incomplete.
+struct CborByteString
+{
+  size_t head = 0;
+  size_t begin = 0;
+  uint64_t size = 0;
+};
+
+/// Finds the first byte string of at least `aMinBytes`, also in bytes that end within it.
+std::optional<CborByteString> FindLargeByteString(std::string_view aBytes, size_t aMinBytes);
+/// The head of a byte string of this size.
+std::string CborByteStringHead(size_t aBytes);
+
 /// Encodes a value as CBOR bytes.
 template<class T>
 std::string Encode(const T& aValue)
--- a/src/dandelion/OperatorClient.cpp
+++ b/src/dandelion/OperatorClient.cpp
@@ -20,7 +20,7 @@
   HttpRequest request = aRequest;
   if (keys_.IsEnabled()) {
     std::string signatureInput =
-      OperatorSignatureInput(request.method, request.target, request.body);
+      OperatorSignatureInput(request.method, request.target, request.body.Text());
     request.headers.emplace_back(
       kSignatureHeader, ToHex(keys_.Sign(SignaturePurpose::OperatorRequest, signatureInput)));
   }
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -71,7 +71,7 @@
   Ticket ticket = nextTicket_++;
   TimePoint now = context_.loop.Now();
   TimePoint deadline = now + milliseconds(aCall.deadlineMs);
-  pending_[ticket] = PendingCall{ aCall, std::move(aReply), now, deadline, now, std::nullopt };
+  pending_[ticket] = PendingCall{ aCall, std::move(aReply), now, deadline, now, std::nullopt, {} };
   std::optional<ErrorKind> refusalReason = FindRefusalReason(aCall);
   if (refusalReason.has_value()) {
     Refuse(ticket, *refusalReason);
@@ -113,6 +113,9 @@
     // one allowed are refused here.
     return ErrorKind::Leaving;
   }
+  if (context_.memory != nullptr && context_.memory->Level() == MemoryLevel::Full) {
+    return ErrorKind::Overloaded;
+  }
   return std::nullopt;
 }
 
@@ -166,6 +169,8 @@
   pending.request = upstream_->Send(pending.call, [this, aTicket](const UpstreamResult& aResult) {
     OnUpstreamResult(aTicket, aResult);
   });
+  // The request to the upstream holds the body from here on.
+  pending.call.body.data.clear();
 }
 
 void AdmissionService::OnUpstreamResult(Ticket aTicket, const UpstreamResult& aResult)
@@ -310,8 +315,10 @@
                    links_->Send(key.first, aReply);
                  };
                  Ticket ticket = Serve(aCall, reply);
-                 if (pending_.count(ticket) > 0) {
+                 auto pending = pending_.find(ticket);
+                 if (pending != pending_.end()) {
                    remoteTickets_[key] = ticket;
+                   pending->second.body = HeldBytes(context_.memory, aCall.body.data.size());
                  }
                },
                [&](const CancelCall& aCancel) {
--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -41,6 +41,8 @@
     std::optional<Upstream::RequestId> request;
     /// Version of the upstream that it was sent to.
     std::string upstreamVersion = {};
+    /// Body of a call of another node. That of a call of this node is charged to its connection.
+    HeldBytes body = {};
   };
   /// A call that arrived over a link: the link and the sender's id of the call.
   using RemoteCallKey = std::pair<LinkId, uint64_t>;
--- a/src/dandeliond/CallServices.h
+++ b/src/dandeliond/CallServices.h
@@ -87,7 +87,7 @@
   std::string method;
   std::string target;
   std::vector<HeaderField> headers;
-  std::string body;
+  SharedString body;
   InheritedLimits limits;
   std::string host = {};
   /// The caller's id of the request, for logs and for the check of the upstream's answer.
@@ -103,7 +103,7 @@
   std::string reason;
   int64_t status = 0;
   std::vector<HeaderField> headers;
-  std::string body;
+  SharedString body;
   /// For refusals: after which time the call is likely to be accepted.
   std::optional<Duration> retryAfter = {};
 };
--- a/src/dandeliond/FrontService.cpp
+++ b/src/dandeliond/FrontService.cpp
@@ -50,8 +50,10 @@
 
 FrontService::FrontService(const NodeContext& aContext)
   : context_(aContext)
-  , server_(aContext.loop,
-            [this](std::shared_ptr<HttpExchange> aExchange) { OnRequest(std::move(aExchange)); })
+  , server_(
+      aContext.loop,
+      [this](std::shared_ptr<HttpExchange> aExchange) { OnRequest(std::move(aExchange)); },
+      aContext.CallerCapacity())
 {
 }
 
--- a/src/dandeliond/Node.cpp
+++ b/src/dandeliond/Node.cpp
@@ -147,7 +147,8 @@
 Node::Node(Loop& aLoop, NodeSettings aSettings, uint64_t aIncarnation, uint64_t aSeed)
   : loop_(aLoop)
   , settings_(std::move(aSettings))
-  , context_{ loop_, registry_, settings_, HeaderNamesOf(settings_.environment) }
+  , memory_(aLoop, ByteBudgetOf(settings_.machine.memoryMb))
+  , context_{ loop_, registry_, settings_, HeaderNamesOf(settings_.environment), &memory_ }
   , stopPlan_(StopLimitsOf(settings_))
 {
   Hello hello{ settings_.id, settings_.peers };
@@ -165,10 +166,11 @@
                                        nodeKeys,
                                        aSeed + 4,
                                        fragmentsLargeMessages,
-                                       MaxInFlightBytes(settings_.machine)));
+                                       MaxInFlightBytes(settings_.machine),
+                                       &memory_));
   add(ServiceName::Datagrams, std::make_unique<UdpDatagrams>(loop_, settings_.peers, nodeKeys));
   add(ServiceName::Upstream,
-      std::make_unique<HttpUpstream>(loop_, settings_.upstream, context_.headerNames));
+      std::make_unique<HttpUpstream>(loop_, settings_.upstream, context_.headerNames, &memory_));
   add(ServiceName::Releases, std::make_unique<ReleasesService>());
   add(ServiceName::UpstreamState, MakeUpstreamState(context_));
   add(ServiceName::ReleaseLog, MakeReleaseLog(context_));
--- a/src/dandeliond/Node.h
+++ b/src/dandeliond/Node.h
@@ -32,6 +32,8 @@
 
   Loop& loop_;
   NodeSettings settings_;
+  /// Declared before the services, which use it until they are destroyed.
+  MemoryGuard memory_;
   Registry registry_;
   NodeContext context_;
   StopPlan stopPlan_;
--- a/src/dandeliond/NodeContext.h
+++ b/src/dandeliond/NodeContext.h
@@ -15,6 +15,18 @@
   Registry& registry;
   const NodeSettings& settings;
   CallHeaderNames headerNames = {};
+  /// What connections hold of the machine's memory; null for no limit.
+  MemoryGuard* memory = nullptr;
+
+  /// Capacity of the callers' port, and of each other port.
+  HttpCapacity CallerCapacity() const
+  {
+    return { memory, DivideDescriptors(settings.machine.maxFds).callers };
+  }
+  HttpCapacity OtherCapacity() const
+  {
+    return { memory, DivideDescriptors(settings.machine.maxFds).otherPorts };
+  }
 
   /// Whether the nodes of this environment track where a version is in force. The platform shows
   /// its operators no progress.
--- a/src/dandeliond/OperatorService.cpp
+++ b/src/dandeliond/OperatorService.cpp
@@ -68,7 +68,10 @@
 OperatorService::OperatorService(const NodeContext& aContext)
   : context_(aContext)
   , keys_(aContext.settings.keys.operators)
-  , server_(aContext.loop, [this](const Exchange& aExchange) { OnRequest(aExchange); })
+  , server_(
+      aContext.loop,
+      [this](const Exchange& aExchange) { OnRequest(aExchange); },
+      aContext.OtherCapacity())
 {
 }
 
@@ -92,7 +95,8 @@
 void OperatorService::OnRequest(const Exchange& aExchange)
 {
   const HttpRequest& request = aExchange->Request();
-  std::string signatureInput = OperatorSignatureInput(request.method, request.target, request.body);
+  std::string signatureInput =
+    OperatorSignatureInput(request.method, request.target, request.body.Text());
   std::string signature = FromHex(FindHeader(request.headers, kSignatureHeader));
   if (!keys_.Verify(SignaturePurpose::OperatorRequest, signatureInput, signature)) {
     aExchange->Reply(ErrorResponse(MakeError(ErrorKind::Forbidden,
@@ -224,6 +228,12 @@
   add("store_calls_total", "", store_->CallCount());
   add("datagram_bytes_total", "", datagrams_->BytesSent());
   add("link_continuations_total", "", links_->Continuations());
+  if (context_.memory != nullptr) {
+    add("held_bytes", "", context_.memory->HeldBytes());
+    bool isLimited = context_.memory->Budget() != kUnlimitedBytes;
+    add("held_bytes_budget", "", isLimited ? context_.memory->Budget() : 0);
+    add("dropped_for_memory_total", "", context_.memory->Dropped());
+  }
   for (const auto& row : EnumNames<Lane>::kTable) {
     add("link_bytes_total", fmt::format("{{lane=\"{}\"}}", row.name), links_->BytesSent(row.value));
   }
--- a/src/dandeliond/ReadinessService.cpp
+++ b/src/dandeliond/ReadinessService.cpp
@@ -5,8 +5,10 @@
 ReadinessService::ReadinessService(const NodeContext& aContext, std::string aPath)
   : context_(aContext)
   , path_(std::move(aPath))
-  , server_(aContext.loop,
-            [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); })
+  , server_(
+      aContext.loop,
+      [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); },
+      aContext.OtherCapacity())
 {
 }
 
--- a/src/dandeliond/UpstreamStateServices.cpp
+++ b/src/dandeliond/UpstreamStateServices.cpp
@@ -35,8 +35,10 @@
   : context_(aContext)
   , protocol_(std::move(aProtocol))
   , tracker_(aContext.settings.service)
-  , server_(aContext.loop,
-            [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); })
+  , server_(
+      aContext.loop,
+      [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); },
+      aContext.OtherCapacity())
   , client_(aContext.loop)
 {
 }
--- a/src/dandeliond/main.cpp
+++ b/src/dandeliond/main.cpp
@@ -6,6 +6,7 @@
 #include "absl/flags/usage.h"
 
 #include <csignal>
+#include <malloc.h>
 #include <random>
 
 ABSL_FLAG(std::string, settings, "", "path of the settings file, JSON with comments");
@@ -49,8 +50,15 @@
   sigset_t signals_;
 };
 
+/// Blocks from this size on are returned to the system when they are freed. By default the C
+/// library raises the size with each large block that is freed, so that the process keeps the
+/// memory.
+constexpr int kMinMappedBytes = 128 * 1024;
+
 int RunDaemon(HeldSignals& aSignals)
 {
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kMinMappedBytes);
   auto settings = LoadNodeSettings(absl::GetFlag(FLAGS_settings));
   if (!settings.ok()) {
     return Fail(settings.status());
--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -158,7 +158,7 @@
     }
     Reply reply;
     reply.status = aResult.response.status;
-    reply.body = ParseForeignJson(aResult.response.body);
+    reply.body = ParseForeignJson(aResult.response.body.Text());
     done(reply);
   };
   HttpSendOptions options;
--- a/src/wire/Fragments.cpp
+++ b/src/wire/Fragments.cpp
@@ -6,15 +6,34 @@
 
 namespace {
 
+bool IsCall(const LinkMessage& aMessage)
+{
+  return std::holds_alternative<OpenCall>(aMessage);
+}
+
+/// Smaller messages grow by the usual doubling.
+constexpr size_t kMinReservedBytes = 64 * 1024;
+
+/// Reserves memory for a message by the size of its body, which its first fragment names, so that
+/// the message is not copied while it grows.
+void ReserveFor(const std::string& aFirstFragment, std::string& aMessage)
+{
+  auto body = FindLargeByteString(aFirstFragment, kMinReservedBytes);
+  if (body.has_value() && body->size < kMaxMessageBytes) {
+    aMessage.reserve(body->begin + body->size + kFragmentBytes);
+  }
+}
+
 /// Window limit after an idle period. A full window would be sent as one burst.
 constexpr double kMaxWindowAfterIdleBytes = 3 * kFragmentBytes;
 
 } // namespace
 
-void FragmentSender::Add(const LinkMessage& aMessage, std::string aBytes)
+void FragmentSender::Add(const LinkMessage& aMessage, SplitBytes aBytes)
 {
   Outgoing outgoing{ nextId_++, aMessage, std::move(aBytes) };
   queuedBytes_ += outgoing.bytes.size();
+  queuedCallBytes_ += IsCall(outgoing.message) ? outgoing.bytes.size() : 0;
   SizeClass& sizeClass = SizeClassOf(outgoing);
   sizeClass.waiting.push_back(std::move(outgoing));
 }
@@ -75,10 +94,11 @@
   active_.pop_front();
   Fragment fragment;
   fragment.message = outgoing.id;
-  fragment.bytes.data = outgoing.bytes.substr(outgoing.sent, kFragmentBytes);
+  fragment.bytes.data = outgoing.bytes.Slice(outgoing.sent, kFragmentBytes);
   outgoing.sent += fragment.bytes.data.size();
   inFlightBytes_ += fragment.bytes.data.size();
   queuedBytes_ -= fragment.bytes.data.size();
+  queuedCallBytes_ -= IsCall(outgoing.message) ? fragment.bytes.data.size() : 0;
   sendTimes_.push_back(aNow);
   fragment.isLast = outgoing.sent >= outgoing.bytes.size();
   if (fragment.isLast) {
@@ -99,7 +119,7 @@
     }
     queue->clear();
   }
-  queuedBytes_ = 0;
+  queuedBytes_ = queuedCallBytes_ = 0;
   return unsent;
 }
 
@@ -115,8 +135,12 @@
       ErrorKind::TooLarge,
       fmt::format("incomplete messages of a peer exceed {} bytes", kMaxPartialBytes));
   }
-  std::string& partial = partial_[aFragment.message];
-  partial += aFragment.bytes.data;
+  auto [found, isFirst] = partial_.try_emplace(aFragment.message);
+  std::string& partial = found->second;
+  if (isFirst && !aFragment.isLast) {
+    ReserveFor(aFragment.bytes.data, partial);
+  }
+  partial += aFragment.bytes.data.Text();
   if (!aFragment.isLast) {
     return std::optional<std::string>();
   }
--- a/src/wire/Fragments.h
+++ b/src/wire/Fragments.h
@@ -7,7 +7,7 @@
 #ifndef DANDELION_WIRE_FRAGMENTS_H
 #define DANDELION_WIRE_FRAGMENTS_H
 
-#include "wire/Messages.h"
+#include "wire/LargeMessages.h"
 
 #include <deque>
 #include <map>
@@ -24,12 +24,16 @@
 /// Queue delay on the network path that the fragments of one link may cause. The window is adjusted
 /// to it, so that bulk messages use the bandwidth without delaying short messages of other links.
 constexpr Duration kTargetQueueDelay = milliseconds(5);
-/// The largest message that a link carries.
-constexpr size_t kMaxMessageBytes = 24 * 1024 * 1024;
+/// The largest message that a link carries: a body of 64 MiB, the platform's limit, and its
+/// headers.
+constexpr size_t kMaxMessageBytes = 65 * 1024 * 1024;
+/// Maximum bytes of long messages whose fragments are sent round-robin at the same time. A longer
+/// message is sent alone.
+constexpr size_t kMaxActiveLongBytes = 24 * 1024 * 1024;
 /// Messages up to this size are short. They do not wait until larger ones are sent completely.
 constexpr size_t kMaxShortMessageBytes = 256 * 1024;
 /// Maximum bytes of short messages whose fragments are sent round-robin at the same time. Long
-/// messages have a separate limit of `kMaxMessageBytes`.
+/// messages have a separate limit of `kMaxActiveLongBytes`.
 constexpr size_t kMaxActiveShortBytes = 4 * 1024 * 1024;
 /// Bytes of incomplete messages that a receiver must be able to buffer for one link.
 constexpr size_t kMaxPartialBytes = kMaxMessageBytes + kMaxActiveShortBytes;
@@ -105,13 +109,15 @@
 {
 public:
   /// Queues a message whose encoding `aBytes` is too large for one frame.
-  void Add(const LinkMessage& aMessage, std::string aBytes);
+  void Add(const LinkMessage& aMessage, SplitBytes aBytes);
   /// Processes an acknowledgement of fragment bytes and adjusts the window to its round trip.
   void OnCredit(uint64_t aBytes, TimePoint aNow);
   /// Returns the next fragment, or `std::nullopt` where none is queued or the window is full.
   std::optional<Fragment> NextFragment(TimePoint aNow);
   /// Message bytes that `NextFragment` has not returned yet.
   size_t QueuedBytes() const { return queuedBytes_; }
+  /// The same without the bytes of calls.
+  size_t QueuedReplyBytes() const { return queuedBytes_ - queuedCallBytes_; }
   /// Fragment bytes that the receiver has not acknowledged.
   size_t BytesInFlight() const { return inFlightBytes_; }
   size_t WindowBytes() const { return static_cast<size_t>(windowBytes_); }
@@ -123,7 +129,7 @@
   {
     uint64_t id;
     LinkMessage message;
-    std::string bytes;
+    SplitBytes bytes;
     size_t sent = 0;
   };
   /// Queue of the short or of the long messages. The receiver buffers each message from its first
@@ -143,13 +149,14 @@
   uint64_t nextId_ = 1;
 
   size_t queuedBytes_ = 0;
+  size_t queuedCallBytes_ = 0;
   size_t inFlightBytes_ = 0;
   /// Send time of each fragment in flight. Credits arrive in the same order.
   std::deque<TimePoint> sendTimes_;
   std::optional<Duration> minRoundTrip_;
   double windowBytes_ = kInitialWindowBytes;
   SizeClass short_{ kMaxActiveShortBytes };
-  SizeClass long_{ kMaxMessageBytes };
+  SizeClass long_{ kMaxActiveLongBytes };
   /// Active messages, whose fragments are sent round-robin.
   std::deque<Outgoing> active_;
 };
@@ -160,6 +167,8 @@
   /// Adds a fragment. Returns the bytes of the message with its last fragment. Errors: `TooLarge`
   /// where incomplete messages exceed `kMaxPartialBytes`, `BrokenMessage` for an empty fragment.
   absl::StatusOr<std::optional<std::string>> AddFragment(const Fragment& aFragment);
+  /// Bytes of incomplete messages.
+  size_t PartialBytes() const { return partialBytes_; }
 
 private:
   std::map<uint64_t, std::string> partial_;
--- a/src/wire/Http.h
+++ b/src/wire/Http.h
@@ -2,6 +2,7 @@
 #ifndef DANDELION_WIRE_HTTP_H
 #define DANDELION_WIRE_HTTP_H
 
+#include "codec/Codec.h"
 #include "kernel/Kernel.h"
 #include "membership/Membership.h"
 
@@ -17,6 +18,8 @@
 
 namespace dandelion {
 
+class MemoryGuard;
+
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 /// Returns the value of the first header with this name, ignoring case; empty where it is missing.
@@ -28,14 +31,14 @@
   /// Path and query as in the request line.
   std::string target = "/";
   HttpHeaders headers;
-  std::string body;
+  SharedString body;
 };
 
 struct HttpResponse
 {
   int status = 200;
   HttpHeaders headers;
-  std::string body;
+  SharedString body;
 };
 
 /// One request and its pending response. It may be stored and answered later, exactly once.
@@ -67,10 +70,17 @@
   Duration headerTimeout = seconds(30);
 };
 
+/// What the connections of a server may use of the machine; no limits by default.
+struct HttpCapacity
+{
+  MemoryGuard* memory = nullptr;
+  size_t maxConnections = SIZE_MAX;
+};
+
 class HttpServer
 {
 public:
-  HttpServer(Loop& aLoop, HttpHandler aHandler);
+  HttpServer(Loop& aLoop, HttpHandler aHandler, HttpCapacity aCapacity = {});
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -86,6 +96,7 @@
   /// Number of connections with a partly read request, a pending response, or a last response that
   /// is still being written.
   size_t BusyConnections() const;
+  size_t Connections() const { return connections_.size(); }
 
 private:
   class Connection;
@@ -95,9 +106,12 @@
   void Accept(int aSocket);
   void Close(ConnectionId aId);
   void CloseExpired();
+  /// Closes a connection for a new one. Returns whether there was one that could be closed.
+  bool MakeRoom();
 
   Loop& loop_;
   HttpHandler handler_;
+  HttpCapacity capacity_;
   HttpLimits limits_;
   evconnlistener* listener_ = nullptr;
   bool isClosing_ = false;
@@ -147,7 +161,9 @@
   using OnResult = std::function<void(const HttpResult&)>;
   using OnChunk = std::function<void(const std::string&)>;
 
-  explicit HttpClient(Loop& aLoop);
+  /// The bytes of incomplete responses are charged to `aMemory` where it is given, and large ones
+  /// are read on only while it has room.
+  explicit HttpClient(Loop& aLoop, MemoryGuard* aMemory = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -196,6 +212,8 @@
   void DeleteLater(std::unique_ptr<Connection> aConnection);
 
   Loop& loop_;
+  MemoryGuard* memory_;
+  size_t maxBufferedBytes_;
   RequestId nextId_ = 1;
   uint64_t openedConnections_ = 0;
   size_t bufferedBytes_ = 0;
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -1,4 +1,7 @@
+#include "wire/ConnectionMemory.h"
 #include "wire/HttpMessageParser.h"
+#include "wire/HttpRequestHead.h"
+#include "wire/SharedWrite.h"
 #include "wire/SocketAddress.h"
 
 #include <event2/buffer.h>
@@ -20,6 +23,8 @@
 /// Maximum of all incomplete responses together, since servers may send bytes without end on many
 /// connections at a time.
 constexpr size_t kMaxBufferedBytes = 64 * 1024 * 1024;
+/// The same as a part of the byte budget of a small machine.
+constexpr size_t kBudgetDivisor = 3;
 /// Maximum number of interim and unrelated responses before the response to a request.
 constexpr int kMaxSkippedResponses = 16;
 /// An idle connection is discarded this long before the idle timeout that its server announced.
@@ -46,25 +51,6 @@
   return std::nullopt;
 }
 
-std::string ToBytes(const HttpRequest& aRequest, const Endpoint& aServer)
-{
-  std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", aRequest.method, aRequest.target);
-  for (const auto& [name, value] : aRequest.headers) {
-    bytes += fmt::format("{}: {}\r\n", name, value);
-  }
-  if (FindHeader(aRequest.headers, "Host").empty()) {
-    bytes += fmt::format("Host: {}\r\n", ToText(aServer));
-  }
-  bool hasBody = !aRequest.body.empty() || aRequest.method == "POST" || aRequest.method == "PUT" ||
-                 aRequest.method == "PATCH";
-  if (hasBody) {
-    bytes += fmt::format("Content-Length: {}\r\n", aRequest.body.size());
-  }
-  bytes += "\r\n";
-  bytes += aRequest.body;
-  return bytes;
-}
-
 } // namespace
 
 struct HttpClient::Pending
@@ -88,7 +74,10 @@
     , server_(std::move(aServer))
     , socket_(bufferevent_socket_new(aClient.loop_.Base(), -1, BEV_OPT_CLOSE_ON_FREE))
     , parser_(HttpSide::Response, ResponseLimits())
+    , memory_(aClient.memory_, socket_, {}, [this] { Read(); })
   {
+    // The bodies of requests are charged to those who sent them.
+    memory_.ExcludeOutput();
     bufferevent_setcb(socket_, &Connection::OnReadable, nullptr, &Connection::OnSocketEvent, this);
     evbuffer_add_cb(bufferevent_get_output(socket_), &Connection::OnOutput, this);
     bufferevent_enable(socket_, EV_READ | EV_WRITE);
@@ -99,12 +88,13 @@
   ~Connection()
   {
     client_.bufferedBytes_ -= bufferedBytes_;
+    memory_.Release();
     bufferevent_free(socket_);
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void Begin(RequestId aId, Pending& aPending, std::string_view aBytes)
+  void Begin(RequestId aId, Pending& aPending, const std::string& aHead, const SharedString& aBody)
   {
     request_ = aId;
     pending_ = &aPending;
@@ -112,7 +102,8 @@
     ++requests_;
     skippedResponses_ = 0;
     parser_.Reset(aPending.isHeadRequest);
-    bufferevent_write(socket_, aBytes.data(), aBytes.size());
+    bufferevent_write(socket_, aHead.data(), aHead.size());
+    WriteShared(socket_, aBody);
   }
   void MarkIdle(TimePoint aNow)
   {
@@ -122,6 +113,7 @@
   }
   void Detach()
   {
+    memory_.Release();
     bufferevent_disable(socket_, EV_READ | EV_WRITE);
     bufferevent_setcb(socket_, nullptr, nullptr, nullptr, nullptr);
     pending_ = nullptr;
@@ -177,6 +169,7 @@
   Endpoint server_;
   bufferevent* socket_;
   HttpMessageParser parser_;
+  ConnectionMemory memory_;
   RequestId request_ = 0;
   Pending* pending_ = nullptr;
   /// Requests begun on this connection.
@@ -226,6 +219,7 @@
       return;
     }
   }
+  memory_.ContinueReading();
 }
 
 /// Skips an interim (1xx) response, and a response that belongs to another request. Returns whether
@@ -262,6 +256,8 @@
 {
   client_.bufferedBytes_ += parser_.BufferedBytes() - bufferedBytes_;
   bufferedBytes_ = parser_.BufferedBytes();
+  constexpr bool kIsInProgress = true;
+  memory_.Charge(bufferedBytes_, kIsInProgress);
 }
 
 void HttpClient::Connection::Complete(bool aKeepsAlive)
@@ -298,9 +294,14 @@
   client_.Finish(request_, HttpResult{ outcome, {} });
 }
 
-HttpClient::HttpClient(Loop& aLoop)
+HttpClient::HttpClient(Loop& aLoop, MemoryGuard* aMemory)
   : loop_(aLoop)
+  , memory_(aMemory)
+  , maxBufferedBytes_(kMaxBufferedBytes)
 {
+  if (memory_ != nullptr) {
+    maxBufferedBytes_ = std::min(kMaxBufferedBytes, memory_->Budget() / kBudgetDivisor);
+  }
 }
 
 HttpClient::~HttpClient()
@@ -359,7 +360,7 @@
     pending.connection = std::make_unique<Connection>(*this, aServer);
   }
   pending_[id] = std::move(aPending);
-  pending.connection->Begin(id, pending, ToBytes(aRequest, aServer));
+  pending.connection->Begin(id, pending, RequestHead(aRequest, aServer), aRequest.body);
   if (pending.connection->HasFailed()) {
     // The result must be delivered from the loop, not from within this call.
     pending.timeoutTimer = loop_.After(Duration::zero(), [this, id] { FinishWithoutResponse(id); });
@@ -440,7 +441,7 @@
 
 void HttpClient::LimitBufferedBytes()
 {
-  while (bufferedBytes_ > kMaxBufferedBytes) {
+  while (bufferedBytes_ > maxBufferedBytes_) {
     auto isSmaller = [](const auto& aA, const auto& aB) {
       return aA.second->connection->BufferedBytes() < aB.second->connection->BufferedBytes();
     };
--- a/src/wire/HttpConnection.cpp
+++ b/src/wire/HttpConnection.cpp
@@ -1,5 +1,7 @@
 #include "wire/HttpConnection.h"
 
+#include "wire/SharedWrite.h"
+
 #include "absl/strings/match.h"
 
 #include <event2/buffer.h>
@@ -22,6 +24,8 @@
 /// No further request of a connection is begun while its responses that are not yet sent take this
 /// many bytes, so that a client that reads slowly or asks for much cannot fill the memory.
 constexpr size_t kMaxHeldResponseBytes = 256 * 1024;
+/// Retry-After of requests that are refused because the node is short of memory.
+constexpr const char* kRetryAfterSeconds = "1";
 
 std::string_view ReasonPhrase(int aStatus)
 {
@@ -61,85 +65,16 @@
 
 } // namespace
 
-HttpServer::Exchange::Exchange(Connection& aConnection,
-                               Connection::Response& aResponse,
-                               HttpRequest aRequest)
-  : request_(std::move(aRequest))
-  , connection_(&aConnection)
-  , response_(&aResponse)
-{
-}
-
-HttpServer::Exchange::~Exchange()
-{
-  if (connection_ == nullptr) {
-    return;
-  }
-  if (isStreaming_) {
-    // `EndStream` was not called, so the client must see that the body is incomplete.
-    connection_->CutShort(*response_);
-    return;
-  }
-  // If the handler drops the exchange without a reply, the client still gets a response.
-  HttpResponse response;
-  response.status = TraitsOf(ErrorKind::Internal).httpStatus;
-  connection_->SendHead(*response_, response, false);
-  Finish();
-}
-
-void HttpServer::Exchange::Reply(const HttpResponse& aResponse)
-{
-  if (connection_ != nullptr && !isStreaming_) {
-    connection_->SendHead(*response_, aResponse, false);
-    Finish();
-  }
-}
-
-void HttpServer::Exchange::BeginStream(const HttpResponse& aHead)
-{
-  if (connection_ != nullptr && !isStreaming_) {
-    isStreaming_ = true;
-    connection_->SendHead(*response_, aHead, true);
-  }
-}
-
-void HttpServer::Exchange::SendChunk(const std::string& aChunk)
-{
-  if (connection_ != nullptr && isStreaming_) {
-    connection_->SendChunk(*response_, aChunk);
-  }
-}
-
-void HttpServer::Exchange::EndStream()
-{
-  if (connection_ != nullptr && isStreaming_) {
-    Finish();
-  }
-}
-
-void HttpServer::Exchange::OnClientDisconnected(std::function<void()> aCallback)
-{
-  onClientDisconnected_ = std::move(aCallback);
-}
-
-std::function<void()> HttpServer::Exchange::Disconnect()
-{
-  connection_ = nullptr;
-  return std::exchange(onClientDisconnected_, nullptr);
-}
-
-void HttpServer::Exchange::Finish()
-{
-  Connection* connection = std::exchange(connection_, nullptr);
-  onClientDisconnected_ = nullptr;
-  connection->Complete(*response_);
-}
-
 HttpServer::Connection::Connection(HttpServer& aServer, ConnectionId aId, int aSocket)
   : server_(aServer)
   , id_(aId)
   , socket_(bufferevent_socket_new(aServer.loop_.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
   , parser_(HttpSide::Request, aServer.limits_)
+  , memory_(
+      aServer.capacity_.memory,
+      socket_,
+      [this] { Drop(); },
+      [this] { OnRoom(); })
   , lastActivity_(aServer.loop_.Now())
 {
   bufferevent_setcb(
@@ -150,6 +85,7 @@
 
 HttpServer::Connection::~Connection()
 {
+  memory_.Release();
   bufferevent_free(socket_);
 }
 
@@ -166,13 +102,46 @@
 void HttpServer::Connection::Read()
 {
   // A reply from within the handler calls `Read` again; the outer call reads the next request.
-  if (isReading_) {
+  if (isReading_ || isDetached_) {
     return;
   }
   isReading_ = true;
   while (ReadStep()) {
   }
   isReading_ = false;
+  Charge();
+  bool isReadingRequest = parser_.HasStarted() && !parser_.IsComplete() && responses_.empty();
+  if (isReadingRequest && !isDetached_ && !closesWhenWritten_) {
+    memory_.ContinueReading();
+  }
+}
+
+void HttpServer::Connection::Charge()
+{
+  if (isDetached_) {
+    return;
+  }
+  size_t held = parser_.HeldBytes();
+  for (const Response& response : responses_) {
+    held += response.requestBytes + response.head.size() + response.held.size();
+  }
+  memory_.Charge(held, !responses_.empty());
+}
+
+void HttpServer::Connection::Drop()
+{
+  if (parser_.HasStarted() && responses_.empty() && !closesWhenWritten_) {
+    Reject(HTTP_STATUS_SERVICE_UNAVAILABLE);
+  } else {
+    server_.Close(id_);
+  }
+}
+
+void HttpServer::Connection::OnRoom()
+{
+  // The time in which the client was not read does not count as its pause.
+  lastActivity_ = headBeganAt_ = server_.loop_.Now();
+  Read();
 }
 
 bool HttpServer::Connection::HoldsTooMuch() const
@@ -236,7 +205,7 @@
   size_t consumed = parser_.Feed(bytes, contiguous);
   evbuffer_drain(input, consumed);
   if (parser_.ParseError() != HttpParseError::None) {
-    Reject(parser_.ParseError());
+    Reject(StatusFor(parser_.ParseError()));
     return false;
   }
   return true;
@@ -244,11 +213,16 @@
 
 void HttpServer::Connection::BeginExchange()
 {
+  if (memory_.IsFull()) {
+    Reject(HTTP_STATUS_SERVICE_UNAVAILABLE);
+    return;
+  }
   hasLastRequest_ = !parser_.KeepsAlive();
   Response& response = responses_.emplace_back();
   response.mayRunBesideOthers = parser_.IsBodilessRead();
   HttpRequest request = parser_.TakeRequest();
   response.isHeadRequest = request.method == "HEAD";
+  response.requestBytes = request.body.size();
   parser_.Reset();
   hasSentContinue_ = false;
   auto exchange = std::make_shared<Exchange>(*this, response, std::move(request));
@@ -257,12 +231,16 @@
   server_.handler_(std::move(exchange));
 }
 
-void HttpServer::Connection::Reject(HttpParseError aError)
+void HttpServer::Connection::Reject(int aStatus)
 {
+  parser_.Reset();
   hasLastRequest_ = true;
   Response& response = responses_.emplace_back();
   HttpResponse content;
-  content.status = StatusFor(aError);
+  content.status = aStatus;
+  if (aStatus == HTTP_STATUS_SERVICE_UNAVAILABLE) {
+    content.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  }
   SendHead(response, content, false);
   Complete(response);
 }
@@ -289,8 +267,13 @@
   aResponse.hasHead = true;
   WriteReady();
   if (!aIsStream && !aResponse.isHeadRequest && !hasNoBody) {
-    Append(aResponse, aContent.body);
+    if (aResponse.isHeadWritten) {
+      WriteShared(socket_, aContent.body);
+    } else {
+      aResponse.held += aContent.body.Text();
+    }
   }
+  Charge();
 }
 
 void HttpServer::Connection::Append(Response& aResponse, std::string_view aBytes)
@@ -308,6 +291,7 @@
     Append(aResponse, fmt::format("{:x}\r\n", aChunk.size()));
     Append(aResponse, aChunk);
     Append(aResponse, "\r\n");
+    Charge();
   }
 }
 
@@ -378,6 +362,8 @@
   closesWhenWritten_ = true;
   if (evbuffer_get_length(bufferevent_get_output(socket_)) == 0) {
     server_.Close(id_);
+  } else {
+    Charge();
   }
 }
 
@@ -422,6 +408,8 @@
 void HttpServer::Connection::Detach()
 {
   isDetached_ = true;
+  memory_.Release();
+  parser_.Reset();
   bufferevent_disable(socket_, EV_READ | EV_WRITE);
   bufferevent_setcb(socket_, nullptr, nullptr, nullptr, nullptr);
   CancelExchanges();
@@ -432,9 +420,15 @@
   return !responses_.empty() || closesWhenWritten_ || parser_.HasStarted();
 }
 
+ConnectionState HttpServer::Connection::State() const
+{
+  bool isIdle = responses_.empty() && !parser_.HasStarted() && memory_.UnsentBytes() == 0;
+  return { !responses_.empty(), isIdle, lastActivity_ };
+}
+
 bool HttpServer::Connection::IsExpired(TimePoint aNow) const
 {
-  if (!responses_.empty()) {
+  if (!responses_.empty() || memory_.IsPaused()) {
     return false;
   }
   // A complete request waits until the client has read the responses before it.
--- a/src/wire/HttpConnection.h
+++ b/src/wire/HttpConnection.h
@@ -2,6 +2,7 @@
 #ifndef DANDELION_WIRE_HTTP_CONNECTION_H
 #define DANDELION_WIRE_HTTP_CONNECTION_H
 
+#include "wire/ConnectionMemory.h"
 #include "wire/HttpMessageParser.h"
 
 #include <list>
@@ -30,6 +31,8 @@
     /// The handler dropped the exchange within a stream.
     bool isCutShort = false;
     bool closesConnection = false;
+    /// Size of the request's body.
+    size_t requestBytes = 0;
     /// Status line and headers without the `Connection` header, which is decided when the head is
     /// written.
     std::string head;
@@ -54,6 +57,8 @@
   void Detach();
 
   bool IsBusy() const;
+  /// What matters for the choice of a connection to close for a new one.
+  ConnectionState State() const;
   bool IsExpired(TimePoint aNow) const;
 
 private:
@@ -66,7 +71,12 @@
   bool HoldsTooMuch() const;
   bool FeedParser();
   void BeginExchange();
-  void Reject(HttpParseError aError);
+  void Reject(int aStatus);
+  /// Tells the memory account what this connection holds.
+  void Charge();
+  /// Refuses the request that is being read, or closes the connection if there is none.
+  void Drop();
+  void OnRoom();
   /// Writes bytes behind the head of a response, or holds them until the head is written.
   void Append(Response& aResponse, std::string_view aBytes);
   /// Writes the responses whose turn it is.
@@ -83,6 +93,7 @@
   ConnectionId id_;
   bufferevent* socket_;
   HttpMessageParser parser_;
+  ConnectionMemory memory_;
   /// In the order of the requests. The last one may be the error of an invalid request.
   std::list<Response> responses_;
   /// The last response is known: bytes behind its request count as unread.
--- a/src/wire/HttpMessageParser.cpp
+++ b/src/wire/HttpMessageParser.cpp
@@ -1,7 +1,20 @@
 #include "wire/HttpMessageParser.h"
 
+#include <algorithm>
+
 namespace dandelion {
 
+namespace {
+
+/// Each header costs memory beyond its bytes, so that many short ones need a limit of their own.
+constexpr size_t kMaxHeaders = 1000;
+/// Smaller bodies grow by the usual doubling.
+constexpr size_t kMinReservedBytes = 256 * 1024;
+/// Memory reserved for a body of announced length, as a multiple of what has arrived.
+constexpr size_t kMaxReserveFactor = 8;
+
+} // namespace
+
 HttpMessageParser::HttpMessageParser(HttpSide aSide, const HttpLimits& aLimits)
   : side_(aSide)
   , limits_(aLimits)
@@ -21,8 +34,9 @@
   target_.clear();
   name_.clear();
   value_.clear();
-  headers_.clear();
-  body_.clear();
+  // Their memory is released as well: the next message may need none.
+  HttpHeaders().swap(headers_);
+  std::string().swap(body_);
 }
 
 HttpMessageParser& HttpMessageParser::Self(http_parser* aParser)
@@ -67,7 +81,7 @@
       self.parseError_ = HttpParseError::BodyTooLarge;
       return 1;
     }
-    self.body_.append(aBytes, aCount);
+    self.AppendBody(aBytes, aCount);
     return 0;
   };
   settings.on_message_complete = [](http_parser* aParser) {
@@ -92,10 +106,31 @@
   hasValue_ = false;
 }
 
+void HttpMessageParser::AppendBody(const char* aBytes, size_t aCount)
+{
+  size_t needed = body_.size() + aCount;
+  if (needed > body_.capacity() && needed >= kMinReservedBytes) {
+    // `content_length` is what is left of the body behind these bytes.
+    bool isAnnounced = (parser_.flags & F_CHUNKED) == 0 && parser_.content_length != ULLONG_MAX;
+    // Memory that is reserved is not used before the bytes arrive, but a client that announces much
+    // and sends little must not reserve all of it.
+    size_t whole =
+      isAnnounced ? std::min<uint64_t>(needed + parser_.content_length, kMaxReserveFactor * needed)
+                  : 2 * needed;
+    body_.reserve(std::max(needed, std::min(limits_.maxBodyBytes, whole)));
+  }
+  body_.append(aBytes, aCount);
+}
+
+size_t HttpMessageParser::HeldBytes() const
+{
+  return body_.size() + headerBytes_ + headers_.capacity() * sizeof(HttpHeaders::value_type);
+}
+
 bool HttpMessageParser::CountHeaderBytes(size_t aBytes)
 {
   headerBytes_ += aBytes;
-  if (headerBytes_ > limits_.maxHeaderBytes) {
+  if (headerBytes_ > limits_.maxHeaderBytes || headers_.size() > kMaxHeaders) {
     parseError_ = HttpParseError::HeaderTooLarge;
     return false;
   }
--- a/src/wire/HttpMessageParser.h
+++ b/src/wire/HttpMessageParser.h
@@ -42,6 +42,8 @@
   bool HasStarted() const { return hasStarted_; }
   /// Bytes of the body that are held here.
   size_t BufferedBytes() const { return body_.size(); }
+  /// Bytes of the whole message that are held here.
+  size_t HeldBytes() const;
   bool HasHeaders() const { return hasHeaders_; }
   bool IsComplete() const { return isComplete_; }
   HttpParseError ParseError() const { return parseError_; }
@@ -64,6 +66,7 @@
   static http_parser_settings MakeCallbacks();
   void AddHeader();
   bool CountHeaderBytes(size_t aBytes);
+  void AppendBody(const char* aBytes, size_t aCount);
   int OnHeadersComplete();
 
   HttpSide side_;
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -27,9 +27,10 @@
   return "";
 }
 
-HttpServer::HttpServer(Loop& aLoop, HttpHandler aHandler)
+HttpServer::HttpServer(Loop& aLoop, HttpHandler aHandler, HttpCapacity aCapacity)
   : loop_(aLoop)
   , handler_(std::move(aHandler))
+  , capacity_(aCapacity)
 {
 }
 
@@ -69,11 +70,28 @@
 
 void HttpServer::Accept(int aSocket)
 {
+  if (connections_.size() >= capacity_.maxConnections && !MakeRoom()) {
+    evutil_closesocket(aSocket);
+    return;
+  }
   DisableNagle(aSocket);
   ConnectionId id = nextId_++;
   connections_[id] = std::make_unique<Connection>(*this, id, aSocket);
 }
 
+bool HttpServer::MakeRoom()
+{
+  std::map<ConnectionId, ConnectionState> states;
+  for (const auto& [id, connection] : connections_) {
+    states[id] = connection->State();
+  }
+  std::optional<ConnectionId> chosen = ChooseConnectionToClose(states, loop_.Now());
+  if (chosen.has_value()) {
+    Close(*chosen);
+  }
+  return chosen.has_value();
+}
+
 void HttpServer::Close(ConnectionId aId)
 {
   auto found = connections_.find(aId);
--- a/src/wire/HttpUpstream.cpp
+++ b/src/wire/HttpUpstream.cpp
@@ -57,8 +57,11 @@
 
 } // namespace
 
-HttpUpstream::HttpUpstream(Loop& aLoop, Endpoint aUpstream, CallHeaderNames aHeaderNames)
-  : client_(aLoop)
+HttpUpstream::HttpUpstream(Loop& aLoop,
+                           Endpoint aUpstream,
+                           CallHeaderNames aHeaderNames,
+                           MemoryGuard* aMemory)
+  : client_(aLoop, aMemory)
   , upstream_(std::move(aUpstream))
   , headerNames_(std::move(aHeaderNames))
 {
--- a/src/wire/HttpUpstream.h
+++ b/src/wire/HttpUpstream.h
@@ -15,7 +15,10 @@
   , public Upstream
 {
 public:
-  HttpUpstream(Loop& aLoop, Endpoint aUpstream, CallHeaderNames aHeaderNames = CallHeaderNames());
+  HttpUpstream(Loop& aLoop,
+               Endpoint aUpstream,
+               CallHeaderNames aHeaderNames = CallHeaderNames(),
+               MemoryGuard* aMemory = nullptr);
 
   RequestId Send(const OpenCall& aCall, OnResult aOnResult) override;
   void Cancel(RequestId aId) override { client_.Cancel(aId); }
--- a/src/wire/LinkConnection.h
+++ b/src/wire/LinkConnection.h
@@ -40,6 +40,8 @@
 
   void SetUser(User& aUser) { user_ = &aUser; }
   void Send(const std::string& aFrame);
+  /// Accepts messages beyond the size of a hello, from an authenticated opener.
+  void AcceptLargeMessages() { session_->AcceptLargeMessages(); }
   std::string Challenge() const { return session_->Challenge(); }
   /// Bytes that the socket has not taken yet.
   size_t QueuedBytes() const;
--- a/src/wire/Upstream.h
+++ b/src/wire/Upstream.h
@@ -16,7 +16,7 @@
   bool isRetried = false;
   int status = 0;
   std::vector<HeaderField> headers;
-  std::string body;
+  SharedString body;
   /// Whether bytes of the call may have reached the upstream.
   bool hasReachedUpstream = true;
   /// Why a received answer is not forwarded; empty where it is.
--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -83,6 +83,10 @@
   if (!isOpen_) {
     return aNow - createdAt_ > kConnectTimeout;
   }
+  if (!isOutgoing_ && !wasOpen_) {
+    // Whoever opened it has not sent its hello.
+    return aNow - createdAt_ > kConnectTimeout;
+  }
   if (!isOutgoing_) {
     // The opener replaces a silent connection long before this.
     std::optional<TimePoint> waitingSince = delivery_.WaitingSince();
@@ -105,6 +109,14 @@
   return output + fragmentSender_.QueuedBytes() + fragmentSender_.BytesInFlight();
 }
 
+size_t WebsocketLinks::Link::HeldBytes() const
+{
+  size_t output = connection_ == nullptr ? 0 : connection_->QueuedBytes();
+  // Fragments in flight are kept until the peer has acknowledged their frames.
+  return output + fragmentSender_.QueuedReplyBytes() + fragmentSender_.BytesInFlight() +
+         fragmentReceiver_.PartialBytes();
+}
+
 std::vector<LinkMessage> WebsocketLinks::Link::TakeUnsent()
 {
   std::vector<LinkMessage> unsent = fragmentSender_.TakeUnsent();
@@ -254,6 +266,9 @@
   if (!isAuthenticated_ && hello != nullptr) {
     isAuthenticated_ = owner_.keys_.Verify(
       SignaturePurpose::LinkFromOpener, HelloSignatureInput(*hello), FromHex(hello->proof));
+    if (isAuthenticated_) {
+      connection_->AcceptLargeMessages();
+    }
   }
   return isAuthenticated_;
 }
@@ -295,15 +310,21 @@
 void WebsocketLinks::Link::SendNow(const LinkMessage& aMessage)
 {
   LinkEnvelope envelope{ owner_.version_, aMessage };
-  std::string bytes = Encode(LinkFrame(envelope));
-  if (bytes.size() <= kFragmentBytes || !owner_.fragmentsLargeMessages_) {
-    SendAck();
-    connection_->Send(bytes);
-    delivery_.OnSent(std::move(bytes), owner_.loop_.Now());
+  const Bytes* body = BodyOf(aMessage);
+  bool isLarge = body != nullptr && body->data.size() > kFragmentBytes;
+  std::string bytes;
+  if (!isLarge || !owner_.fragmentsLargeMessages_) {
+    bytes = Encode(LinkFrame(envelope));
+    isLarge = bytes.size() > kFragmentBytes;
+  }
+  if (isLarge && owner_.fragmentsLargeMessages_) {
+    fragmentSender_.Add(aMessage, EncodeSplit(envelope));
+    owner_.SendFragments();
     return;
   }
-  fragmentSender_.Add(aMessage, Encode(envelope));
-  owner_.SendFragments();
+  SendAck();
+  connection_->Send(bytes);
+  delivery_.OnSent(std::move(bytes), owner_.loop_.Now());
 }
 
 void WebsocketLinks::Link::SendNumbered(const LinkFrame& aFrame)
@@ -384,7 +405,10 @@
 void WebsocketLinks::Link::OnFragment(const Fragment& aFragment)
 {
   CountReceived();
-  SendNumbered(FragmentCredit{ aFragment.bytes.data.size() });
+  owedCredits_.push_back(aFragment.bytes.data.size());
+  if (owner_.MayCredit(id_)) {
+    SendOwedCredits();
+  }
   auto messageBytes = fragmentReceiver_.AddFragment(aFragment);
   if (!messageBytes.ok()) {
     owner_.CloseWithError(id_, messageBytes.status());
@@ -393,7 +417,7 @@
   if (!messageBytes->has_value()) {
     return;
   }
-  auto envelope = Decode<LinkEnvelope>(**messageBytes);
+  auto envelope = DecodeInPlace(std::move(**messageBytes));
   if (!envelope.ok()) {
     owner_.CloseWithError(id_, envelope.status());
     return;
@@ -401,6 +425,16 @@
   owner_.Receive(id_, *envelope);
 }
 
+void WebsocketLinks::Link::SendOwedCredits()
+{
+  if (!isOpen_) {
+    return;
+  }
+  for (size_t bytes : std::exchange(owedCredits_, {})) {
+    SendNumbered(FragmentCredit{ bytes });
+  }
+}
+
 void WebsocketLinks::Link::OnBytesReceived()
 {
   lastReceived_ = owner_.loop_.Now();
--- a/src/wire/WebsocketLink.h
+++ b/src/wire/WebsocketLink.h
@@ -38,6 +38,14 @@
   size_t BytesInFlight() const { return fragmentSender_.BytesInFlight(); }
   /// Bytes that are queued here or that the peer has not acknowledged.
   size_t QueuedBytes() const;
+  /// Bytes that are held here for others: partial messages, and queued ones except for calls, whose
+  /// bodies are charged to their callers' connections.
+  size_t HeldBytes() const;
+  bool IsReceivingFragments() const
+  {
+    return fragmentReceiver_.PartialBytes() > 0 || !owedCredits_.empty();
+  }
+  void SendOwedCredits();
   /// Removes and returns the messages that were not completely sent.
   std::vector<LinkMessage> TakeUnsent();
   void SetPeer(const Endpoint& aPeer) { peer_ = aPeer; }
@@ -115,6 +123,8 @@
   std::vector<LinkMessage> queued_;
   FragmentSender fragmentSender_;
   FragmentReceiver fragmentReceiver_;
+  /// Sizes of received fragments that are not acknowledged while memory is tight.
+  std::vector<size_t> owedCredits_;
 };
 
 } // namespace dandelion
--- a/src/wire/WebsocketLinks.cpp
+++ b/src/wire/WebsocketLinks.cpp
@@ -1,5 +1,6 @@
 #include "wire/WebsocketLinks.h"
 
+#include "wire/MemoryGuard.h"
 #include "wire/SocketAddress.h"
 #include "wire/WebsocketLink.h"
 
@@ -15,6 +16,8 @@
 /// Maximum number of handshakes in progress. Further connections wait in the listen queue, so that
 /// many peers that reconnect at the same time do not delay the calls in progress.
 constexpr int kMaxHandshakes = 64;
+/// While memory is tight, a link whose peer sends nothing gives way to another one after this time.
+constexpr Duration kFavoredTime = seconds(1);
 
 } // namespace
 
@@ -24,8 +27,10 @@
                                SharedKeys aKeys,
                                uint64_t aSeed,
                                bool aFragmentsLargeMessages,
-                               size_t aMaxInFlightBytes)
+                               size_t aMaxInFlightBytes,
+                               MemoryGuard* aMemory)
   : loop_(aLoop)
+  , memory_(aMemory)
   , listen_(std::move(aListen))
   , self_(std::move(aSelf))
   , keys_(std::move(aKeys))
@@ -34,6 +39,9 @@
   , random_(aSeed)
   , backoff_(aSeed)
 {
+  if (memory_ != nullptr) {
+    memoryHolder_ = memory_->Open();
+  }
 }
 
 WebsocketLinks::~WebsocketLinks()
@@ -42,6 +50,9 @@
   links_.clear();
   closed_.clear();
   retiredConnections_.clear();
+  if (memory_ != nullptr) {
+    memory_->Close(memoryHolder_);
+  }
 }
 
 absl::Status WebsocketLinks::Start()
@@ -285,6 +296,7 @@
   for (LinkId id : expired) {
     Close(id);
   }
+  UpdateMemory(now);
   checkTimer_ = loop_.After(kCheckPeriod, [this] { CheckLinks(); });
 }
 
@@ -307,6 +319,43 @@
   }
 }
 
+bool WebsocketLinks::MayCredit(LinkId aLink) const
+{
+  return memory_ == nullptr || memory_->Level() == MemoryLevel::Free || aLink == favoredLink_;
+}
+
+void WebsocketLinks::UpdateMemory(TimePoint aNow)
+{
+  if (memory_ == nullptr) {
+    return;
+  }
+  size_t bytes = 0;
+  for (const auto& [id, link] : links_) {
+    bytes += link->HeldBytes();
+  }
+  memory_->Update(memoryHolder_, bytes, false);
+  Link* favored = Find(favoredLink_);
+  bool isDone = favored == nullptr || !favored->IsReceivingFragments();
+  if (isDone || aNow - favoredSince_ > kFavoredTime) {
+    // The next one in the order of the links that receives fragments.
+    auto next = links_.upper_bound(favoredLink_);
+    for (size_t i = 0; i < links_.size(); ++i) {
+      next = next == links_.end() ? links_.begin() : next;
+      if (next->second->IsReceivingFragments()) {
+        favoredLink_ = next->first;
+        favoredSince_ = aNow;
+        break;
+      }
+      ++next;
+    }
+  }
+  for (auto& [id, link] : links_) {
+    if (MayCredit(id)) {
+      link->SendOwedCredits();
+    }
+  }
+}
+
 size_t WebsocketLinks::QueuedBytes() const
 {
   size_t bytes = 0;
--- a/src/wire/WebsocketLinks.h
+++ b/src/wire/WebsocketLinks.h
@@ -17,6 +17,7 @@
 namespace dandelion {
 
 class LinkConnection;
+class MemoryGuard;
 
 class WebsocketLinks
   : public Service
@@ -35,7 +36,8 @@
                  SharedKeys aKeys,
                  uint64_t aSeed,
                  bool aFragmentsLargeMessages = true,
-                 size_t aMaxInFlightBytes = SIZE_MAX);
+                 size_t aMaxInFlightBytes = SIZE_MAX,
+                 MemoryGuard* aMemory = nullptr);
   ~WebsocketLinks() override;
 
   absl::Status Start() override;
@@ -83,8 +85,18 @@
   void CountInFlight(size_t aBefore, size_t aAfter) { inFlightBytes_ += aAfter - aBefore; }
   /// Sends fragments of all links in round-robin order as far as `maxInFlightBytes_` allows.
   void SendFragments();
+  /// Whether a link may acknowledge fragments now. While memory is tight, only one link may, so
+  /// that its messages become complete; the peers of the others stop sending.
+  bool MayCredit(LinkId aLink) const;
+  /// Charges what the links hold, and lets links acknowledge what they have held back.
+  void UpdateMemory(TimePoint aNow);
 
   Loop& loop_;
+  MemoryGuard* memory_;
+  uint64_t memoryHolder_ = 0;
+  /// The link that may acknowledge fragments while memory is tight, and since when.
+  LinkId favoredLink_ = 0;
+  TimePoint favoredSince_;
   Endpoint listen_;
   Hello self_;
   SharedKeys keys_;
--- a/src/wire/WebsocketSession.cpp
+++ b/src/wire/WebsocketSession.cpp
@@ -13,6 +13,8 @@
 constexpr char kNonceHeader[] = "dandelion-nonce";
 constexpr char kProofHeader[] = "dandelion-proof";
 constexpr size_t kMaxMessageBytes = 24 * 1024 * 1024;
+/// A hello has names, an endpoint and a signature.
+constexpr size_t kMaxHelloBytes = 4 * 1024;
 
 using Server = websocketpp::server<websocketpp::config::core>;
 using Client = websocketpp::client<websocketpp::config::core_client>;
@@ -52,7 +54,8 @@
     , callbacks_(std::move(aCallbacks))
   {
     using websocketpp::connection_hdl;
-    connection_->set_max_message_size(kMaxMessageBytes);
+    bool isOpener = std::is_same_v<EndpointType, Client>;
+    connection_->set_max_message_size(isOpener ? kMaxMessageBytes : kMaxHelloBytes);
     connection_->set_write_handler([this](connection_hdl, const char* aBytes, size_t aCount) {
       callbacks_.onWrite(std::string_view(aBytes, aCount));
       return websocketpp::lib::error_code();
@@ -101,6 +104,8 @@
     (void)connection_->send(aMessage, websocketpp::frame::opcode::binary);
   }
 
+  void AcceptLargeMessages() override { connection_->set_max_message_size(kMaxMessageBytes); }
+
   std::string Challenge() const override
   {
     bool isOpener = std::is_same_v<EndpointType, Client>;
--- a/src/wire/WebsocketSession.h
+++ b/src/wire/WebsocketSession.h
@@ -40,6 +40,9 @@
   virtual void Feed(const char* aBytes, size_t aCount) = 0;
   /// Sends one binary message.
   virtual void Send(const std::string& aMessage) = 0;
+  /// Accepts messages of any size that a link sends. Before this, a listener accepts only small
+  /// ones, since the opener is not authenticated.
+  virtual void AcceptLargeMessages() = 0;
   /// The nonces of both sides in one string, the listener's first. Each side signs it.
   virtual std::string Challenge() const = 0;
 };
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -11,6 +11,7 @@
 #include "wire/HttpUpstream.h"
 #include "wire/LinkDelivery.h"
 #include "wire/Links.h"
+#include "wire/MemoryGuard.h"
 #include "wire/Messages.h"
 #include "wire/ReconnectBackoff.h"
 #include "wire/SharedKeys.h"
--- a/test/property/MalformedInput.cpp
+++ b/test/property/MalformedInput.cpp
@@ -38,6 +38,11 @@
 constexpr char kHttpCall[] = "POST /s0/x?a=b HTTP/1.1\r\nHost: 10.0.0.1:7001\r\n"
                              "Content-Length: 5\r\ndandelion-deadline-ms: 500\r\n\r\nhello";
 
+constexpr char kChunkedCall[] = "POST /s0/x HTTP/1.1\r\nHost: 10.0.0.1:7001\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n"
+                                "1\r\nx\r\n0\r\nX-Trailer: y\r\n\r\n"
+                                "GET /s0/y HTTP/1.1\r\nHost: x\r\n\r\n";
+
 /// Records whether the message of the valid client was received.
 class PullListener : public LinkHandler
 {
@@ -136,3 +141,27 @@
   cr_assert_eq(result.response.body, "whole");
   cr_assert_gt(served, 0);
 }
+
+/// Guards against bytes that stay charged when a connection ends in the middle of a request.
+Test(malformed_input, http_server_releases_what_it_charged)
+{
+  constexpr size_t kBudget = 256 * 1024;
+  Loop loop;
+  MemoryGuard memory(loop, kBudget);
+  auto reply = [](std::shared_ptr<HttpExchange> aExchange) {
+    aExchange->Reply(HttpResponse{ 200, {}, aExchange->Request().body });
+  };
+  HttpServer server(loop, reply, HttpCapacity{ &memory, 4 });
+  cr_assert(server.Listen(LoopbackOf(1), HttpLimits()).ok());
+  CHECK_PROPERTY("damaged requests, with and without a large body", [&] {
+    std::string request = *rc::gen::element<std::string>(kChunkedCall, kHttpCall);
+    if (*rc::gen::inRange(0, 8) == 0) {
+      request = "POST /x HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" + std::string(150000, 'x');
+    }
+    SendRaw(loop, LoopbackOf(1), Mutate(request));
+    RC_ASSERT(memory.HeldBytes() <= kBudget);
+  });
+  cr_assert(RunUntil(loop, [&] { return memory.HeldBytes() == 0; }),
+            "%zu bytes stay charged",
+            memory.HeldBytes());
+}
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -456,7 +456,7 @@
   HttpRequest request = aRequest;
   if (!shape_.operatorKey.empty()) {
     std::string signatureInput =
-      OperatorSignatureInput(request.method, request.target, request.body);
+      OperatorSignatureInput(request.method, request.target, request.body.Text());
     SharedKeys keys({ shape_.operatorKey });
     request.headers.emplace_back(
       kSignatureHeader, ToHex(keys.Sign(SignaturePurpose::OperatorRequest, signatureInput)));
