--- a/src/memory/Memory.h
+++ b/src/memory/Memory.h
@@ -4,5 +4,7 @@
 #define DANDELION_MEMORY_MEMORY_H
 
 #include "memory/ByteAccount.h"
+#include "memory/ConnectionChoice.h"
+#include "memory/ReclaimChoice.h"
 
 #endif
