Test the validation of zone_sharing

The settings of zone sharing had no test: that they need the choice earliest-finish, and that a wait of 0 ms is refused.

--- a/test/error/SettingsAreValidated.cpp
+++ b/test/error/SettingsAreValidated.cpp
@@ -63,3 +63,27 @@
     cr_assert_neq(reason.find(part), std::string::npos, "%s lacks %s", reason.c_str(), part);
   }
 }
+
+Test(settings, zone_sharing_needs_the_choice_that_it_acts_on)
+{
+  auto parse = [](const std::string& aChoice, int aWaitMs) {
+    return ParseNodeSettings(fmt::format(R"({{
+      "id": "n", "region": "r", "zone": "z", "service": "s",
+      "upstream": {{ "ip": "10.0.0.1", "port": 8080 }},
+      "front": {{ "ip": "10.0.0.1", "port": 7001 }},
+      "peers": {{ "ip": "10.0.0.1", "port": 7002 }},
+      "operators": {{ "ip": "10.0.0.1", "port": 7003 }},
+      "store": {{ "servers": [{{ "ip": "10.0.0.2", "port": 2379 }}] }},
+      "choice": "{}", "zone_sharing": {{ "zone_wait_ms": {} }}
+    }})",
+                                         aChoice,
+                                         aWaitMs));
+  };
+  auto valid = parse("earliest-finish", 30);
+  cr_assert(valid.ok(), "%s", MessageOf(valid.status()).c_str());
+  cr_assert_eq(valid->zoneSharing->zoneWaitMs, 30);
+  cr_assert_neq(MessageOf(parse("two-choices", 30).status()).find("zone_sharing needs"),
+                std::string::npos);
+  cr_assert_neq(MessageOf(parse("earliest-finish", 0).status()).find("zone_wait_ms must be"),
+                std::string::npos);
+}
