Spread over upstreams only with zone sharing; heads are limited by their bytes alone

Cause: the spread over upstreams of a zone changed the placement in deployments that do not ask for zone sharing, and a limit of 1,000 headers could meet a client within max-header-bytes.

--- a/src/routing/UpstreamChoice.cpp
+++ b/src/routing/UpstreamChoice.cpp
@@ -157,7 +157,8 @@
   if (best == nullptr) {
     return nullptr;
   }
-  const RankedUpstream& chosen = SpreadInZone(ranked, *best, aQuery);
+  const RankedUpstream& chosen =
+    zoneShares_.has_value() ? SpreadInZone(ranked, *best, aQuery) : *best;
   estimates_.OnChosen(chosen.member->id, aQuery.costClass, chosen.expected.finish);
   return chosen.member;
 }
--- a/src/wire/HttpMessageParser.cpp
+++ b/src/wire/HttpMessageParser.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// Each header costs memory beyond its bytes, so that many short ones need a limit of their own.
-constexpr size_t kMaxHeaders = 1000;
+/// Each header costs memory beyond its bytes, so many short ones need a limit of their own. The
+/// shortest one takes this many bytes: a name, a colon and the end of the line. So no head within
+/// the limit of bytes has too many headers.
+constexpr size_t kMinHeaderBytes = 4;
 /// Smaller bodies grow by the usual doubling.
 constexpr size_t kMinReservedBytes = 256 * 1024;
 /// Memory reserved for a body of announced length, as a multiple of what has arrived.
@@ -130,7 +132,8 @@
 bool HttpMessageParser::CountHeaderBytes(size_t aBytes)
 {
   headerBytes_ += aBytes;
-  if (headerBytes_ > limits_.maxHeaderBytes || headers_.size() > kMaxHeaders) {
+  bool hasTooMany = headers_.size() > limits_.maxHeaderBytes / kMinHeaderBytes;
+  if (headerBytes_ > limits_.maxHeaderBytes || hasTooMany) {
     parseError_ = HttpParseError::HeaderTooLarge;
     return false;
   }
