--- a/src/release/Configuration.h
+++ b/src/release/Configuration.h
@@ -102,7 +102,8 @@
 std::vector<std::string> ServicesOf(const RouteSpec& aRoute);
 
 /// Checks that the services and the policy of every route exist, that no two routes have the same
-/// host and path prefix, and the caps and keys of the accounts: no two may hold the same key. The error lists the problems, each with the object and the remedy.
+/// host and path prefix, and the caps and keys of the accounts: no two may hold the same key. The
+/// error lists the problems, each with the object and the remedy.
 absl::Status CheckConfiguration(const Configuration& aConfiguration);
 
 /// Checks the numbers of objects before a note is accepted. A configuration that has been accepted
--- a/src/release/Objects.h
+++ b/src/release/Objects.h
@@ -150,7 +150,8 @@
 {
   static constexpr ObjectKind kKind = ObjectKind::Account;
   std::string name;
-  /// SHA-256 digests of its API keys in lower-case hexadecimal digits; the keys themselves are not kept.
+  /// SHA-256 digests of its API keys in lower-case hexadecimal digits; the keys themselves are not
+  /// kept.
   std::vector<std::string> keyDigests;
   /// Priority of its calls in place of the policy's; 0 is the highest.
   std::optional<int64_t> priority;
