--- a/src/dandeliond/CallsService.h
+++ b/src/dandeliond/CallsService.h
@@ -7,6 +7,7 @@
 #include "dandeliond/CallInProgress.h"
 #include "dandeliond/MembershipServices.h"
 #include "dandeliond/ReleaseServices.h"
+#include "overload/Overload.h"
 
 #include <map>
 #include <random>
