The fake store of odd_entries implements Swap

Cause: Store::Swap was added, and the fake of one test did not implement it, so the test did not compile. Change: an empty Swap, which the test does not use.

--- a/test/error/OddEntriesAreIgnored.cpp
+++ b/test/error/OddEntriesAreIgnored.cpp
@@ -65,6 +65,7 @@
   void Create(const CreateRequest&, OnCreated) override {}
   void Put(const std::string&, const std::string&, std::optional<Duration>, OnDone) override {}
   void DeleteRange(const std::string&, const std::string&, OnDone) override {}
+  void Swap(const SwapRequest&, OnSwapped) override {}
   WatchId Watch(const std::string&, int64_t, OnEvents, std::function<void()>) override { return 1; }
   void CancelWatch(WatchId) override {}
   uint64_t CallCount() const override { return 0; }
