--- a/src/accounts/Accounts.h
+++ b/src/accounts/Accounts.h
@@ -1,4 +1,4 @@
-/// Public header of the accounts library: client accounts, their keys and usage caps.
+/// Public header of the accounts library: client accounts, their keys and quotas.
 /// It only makes decisions: it opens no sockets and encodes no messages.
 #ifndef DANDELION_ACCOUNTS_ACCOUNTS_H
 #define DANDELION_ACCOUNTS_ACCOUNTS_H
--- a/src/accounts/CapClient.h
+++ b/src/accounts/CapClient.h
@@ -1,4 +1,4 @@
-/// A node's side of usage caps: delegates this node's share of the caps to the owners in its
+/// A node's side of quotas: delegates this node's share of the caps to the owners in its
 /// region, keeps tokens in stock and decides which calls get one.
 #ifndef DANDELION_ACCOUNTS_CAP_CLIENT_H
 #define DANDELION_ACCOUNTS_CAP_CLIENT_H
--- a/src/accounts/CapMessages.h
+++ b/src/accounts/CapMessages.h
@@ -1,4 +1,4 @@
-/// Messages by which nodes share the usage caps of client accounts.
+/// Messages by which nodes share the quotas of client accounts.
 #ifndef DANDELION_ACCOUNTS_CAP_MESSAGES_H
 #define DANDELION_ACCOUNTS_CAP_MESSAGES_H
 
--- a/src/accounts/CapPool.h
+++ b/src/accounts/CapPool.h
@@ -1,4 +1,4 @@
-/// The owner's side of usage caps: pools the shares of the caps that members have delegated to this
+/// The owner's side of quotas: pools the shares of the caps that members have delegated to this
 /// node, and grants tokens for calls.
 #ifndef DANDELION_ACCOUNTS_CAP_POOL_H
 #define DANDELION_ACCOUNTS_CAP_POOL_H
--- a/src/dandeliond/AccountCapsService.cpp
+++ b/src/dandeliond/AccountCapsService.cpp
@@ -120,7 +120,7 @@
     loggedOwners_ = owners;
     Log(LogPart::Accounts,
         LogLevel::Info,
-        "Usage caps of {} accounts are shared by {} members; owners of the shards: {}.",
+        "Quotas of {} accounts are shared by {} members; owners of the shards: {}.",
         caps_.size(),
         change.members,
         owners);
--- a/src/dandeliond/AccountCapsService.h
+++ b/src/dandeliond/AccountCapsService.h
@@ -1,4 +1,4 @@
-/// Enforces the usage caps of client accounts: connects `CapClient` and `CapPool` to the links, the
+/// Enforces the quotas of client accounts: connects `CapClient` and `CapPool` to the links, the
 /// members and the configuration.
 #ifndef DANDELION_DANDELIOND_ACCOUNT_CAPS_SERVICE_H
 #define DANDELION_DANDELIOND_ACCOUNT_CAPS_SERVICE_H
--- a/src/dandeliond/AccountServices.h
+++ b/src/dandeliond/AccountServices.h
@@ -9,7 +9,7 @@
 
 namespace dandelion {
 
-/// `ServiceName::AccountCaps`: the usage caps of client accounts.
+/// `ServiceName::AccountCaps`: the quotas of client accounts.
 class AccountCaps
 {
 public:
--- a/src/dandeliond/CallTokens.cpp
+++ b/src/dandeliond/CallTokens.cpp
@@ -12,7 +12,7 @@
 CallerAnswer OverCapRefusal(const std::string& aAccount, Duration aWait, uint64_t aRandomBits)
 {
   CallerAnswer refusal =
-    MakeRefusal(ErrorKind::OverCap, fmt::format("account \"{}\" is at its usage cap", aAccount));
+    MakeRefusal(ErrorKind::OverCap, fmt::format("account \"{}\" is at its quota", aAccount));
   refusal.retryAfter = RetryAfter(aWait, aRandomBits);
   return refusal;
 }
--- a/src/dandeliond/NodeSettings.h
+++ b/src/dandeliond/NodeSettings.h
@@ -80,7 +80,7 @@
   double rollbackMs = 5000;
 };
 
-/// How the usage caps of client accounts are enforced.
+/// How the quotas of client accounts are enforced.
 struct CapSettings
 {
   /// A cap limits the calls in any window of this length. It is the reference for the tolerance;
--- a/test/performance/CapMessages.cpp
+++ b/test/performance/CapMessages.cpp
@@ -1,4 +1,4 @@
-/// Messages and bytes that nodes exchange for the usage caps of client accounts, from a simulation
+/// Messages and bytes that nodes exchange for the quotas of client accounts, from a simulation
 /// in virtual time. Load: 25 calls a second for each node, sent through all nodes alike, divided
 /// over the accounts by Zipf's law with exponent 1.2; caps of 1.6 times the usual rate.
 #include "support/CapMesh.h"
--- a/test/support/CapMesh.h
+++ b/test/support/CapMesh.h
@@ -1,4 +1,4 @@
-/// Nodes that share usage caps over simulated links, in virtual time.
+/// Nodes that share quotas over simulated links, in virtual time.
 #ifndef DANDELION_TEST_SUPPORT_CAP_MESH_H
 #define DANDELION_TEST_SUPPORT_CAP_MESH_H
 
--- a/test/support/Cluster.cpp
+++ b/test/support/Cluster.cpp
@@ -1,5 +1,7 @@
 #include "support/Cluster.h"
 
+#include "support/HeldSignal.h"
+
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -240,16 +242,9 @@
     arguments.push_back(argument.data());
   }
   arguments.push_back(nullptr);
-  // A request to stop that arrives before the program has begun is delivered when it asks for it;
-  // otherwise a stop right after a start could end the process before its first instruction.
-  sigset_t held;
-  sigset_t before;
-  sigemptyset(&held);
-  sigaddset(&held, SIGTERM);
-  sigprocmask(SIG_BLOCK, &held, &before);
+  HeldSignal held(SIGTERM);
   pid_t pid = fork();
   if (pid != 0) {
-    sigprocmask(SIG_SETMASK, &before, nullptr);
     return pid;
   }
   // A failed test exits without running destructors; its child processes must exit with it.
