--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -12,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -41,6 +42,7 @@
 constexpr int kHeld = 0;
 constexpr int kBroken = 1;
 constexpr int kCannotRun = 2;
+constexpr unsigned kMaxSeconds = 110;
 
 inline double Now()
 {
@@ -607,8 +609,12 @@
     std::string path = folder_ + "/" + machine_.name + ".json";
     std::ofstream(path) << Settings();
     std::string log = folder_ + "/" + machine_.name + ".log";
+    // The case ends with the program that runs it, and after `kMaxSeconds` at the latest.
+    signal(SIGALRM, [](int) { _exit(kCannotRun); });
+    alarm(kMaxSeconds);
     pid_ = fork();
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(output, STDOUT_FILENO);
       dup2(output, STDERR_FILENO);
