--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for case in review/6 review/7 review/8 review/9 review/10; do
-  if [ -f "$case/Case.cpp" ]; then
-    ${CXX:-g++} -std=c++17 -O1 -Wall -Wextra -pthread -I review/rig-2 "$case/Case.cpp" \
+  if [ -f "$case/Script.cpp" ]; then
+    ${CXX:-g++} -std=c++17 -O1 -Wall -Wextra -pthread -I review/rig-2 "$case/Script.cpp" \
       -o "target/review-2/case$(basename "$case")"
   fi
 done
