--- a/review/rig-2/Rig.h
+++ b/review/rig-2/Rig.h
@@ -28,6 +28,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <random>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -124,7 +125,8 @@
 /// no outgoing connection takes the port before its user is started.
 inline Address FreeAddress()
 {
-  static int next = 12000 + static_cast<int>(getpid() % 6000) * 2;
+  // Cases that run side by side begin at different ports.
+  static int next = 12000 + static_cast<int>(std::random_device()() % 18000);
   for (int tries = 0; tries < 10000; ++tries) {
     Address address;
     address.port = next++;
