--- a/review/rig-2/Rig.h
+++ b/review/6/Rig.h
@@ -2,8 +2,8 @@
 /// sockets, a node of the project as a separate process, and the record of what happened.
 ///
 /// It uses sockets and threads only, so that no fault of the project's own library hides here.
-#ifndef REVIEW_RIG_2_RIG_H
-#define REVIEW_RIG_2_RIG_H
+#ifndef REVIEW_6_RIG_H
+#define REVIEW_6_RIG_H
 
 #include <nlohmann/json.hpp>
 
