Log where a link continues and what it sends for it

The logs told that frames were sent again, but not whether the peer had counted them already or whether queued messages had left before its count arrived.

Adds the peer's count and the number of queued messages to the line of a continued link, and a line for queued messages that are sent because bytes arrived.

--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -228,9 +228,12 @@
   delivery_.OnResent(now);
   Log(LogPart::Links,
       LogLevel::Info,
-      "The link to {} continues over another connection; {} frames are sent again.",
+      "The link to {} continues over another connection: the peer has received {} frames; {} frames "
+      "are sent again and {} queued messages follow.",
       peer_.has_value() ? ToText(*peer_) : "a peer",
-      delivery_.Unacknowledged().size());
+      aReceivedByPeer,
+      delivery_.Unacknowledged().size(),
+      queued_.size());
   for (const LinkDelivery::SentFrame& frame : delivery_.Unacknowledged()) {
     connection_->Send(frame.bytes);
   }
@@ -439,6 +442,13 @@
 {
   lastReceived_ = owner_.loop_.Now();
   if (isVerifying_) {
+    Log(LogPart::Links,
+        LogLevel::Info,
+        "Bytes arrived from {}, {}; {} queued messages are sent.",
+        ToText(*peer_),
+        interruptedAt_.has_value() ? "which has not yet said where the link continues"
+                                   : "which was silent",
+        queued_.size());
     isVerifying_ = false;
     SendQueued();
   }
