Send nothing on an interrupted link before the peer's count

Cause: a link that waits for the probe of an idle connection kept waiting when that connection was replaced, and any bytes ended the wait. The handshake of the next connection did, so the queued messages were sent before the peer's count and once more after it.

Change: LinkGate holds the one state of a link. Only the peer's count opens an interrupted link, and a verification ends when the probe itself is acknowledged, not with any bytes, such as those that arrived before the node stood still.

--- a/src/wire/LinkDelivery.h
+++ b/src/wire/LinkDelivery.h
@@ -36,6 +36,8 @@
   /// Records that the unacknowledged frames are sent again over another connection.
   void OnResent(TimePoint aNow);
 
+  /// Numbered frames sent to the peer.
+  uint64_t Sent() const { return acknowledged_ + unacknowledged_.size(); }
   /// Numbered frames received from the peer.
   uint64_t Received() const { return received_; }
   bool OwesAck() const { return received_ > lastAck_; }
--- a/src/wire/WebsocketLink.cpp
+++ b/src/wire/WebsocketLink.cpp
@@ -55,14 +55,14 @@
   bool isStale =
     awaitedAnswers_ == 0 && now - lastReceived_ > kStaleAfter && now - lastUsed_ > kStaleAfter;
   lastUsed_ = now;
-  if (isOpen_ && isStale && isOutgoing_) {
+  if (gate_.MaySendMessages() && isStale && isOutgoing_) {
     // A network device between the peers may have dropped the idle connection. Messages are queued
     // until the peer answers, so that a dead link returns them as unsent. If they were sent, it
     // would be unknown whether their calls were executed.
-    isVerifying_ = true;
     SendNumbered(LinkProbe{});
+    gate_.BeginVerification(delivery_.Sent());
   }
-  if (!isOpen_ || isVerifying_) {
+  if (!gate_.MaySendMessages()) {
     queued_.push_back(aMessage);
     return;
   }
@@ -77,10 +77,10 @@
 
 bool WebsocketLinks::Link::CheckTimeouts(TimePoint aNow)
 {
-  if (interruptedAt_.has_value()) {
-    return aNow - *interruptedAt_ > (isOutgoing_ ? kResumeTimeout : kResumeWindow);
+  if (std::optional<TimePoint> interruptedAt = gate_.InterruptedAt()) {
+    return aNow - *interruptedAt > (isOutgoing_ ? kResumeTimeout : kResumeWindow);
   }
-  if (!isOpen_) {
+  if (!gate_.IsOpen()) {
     return aNow - createdAt_ > kConnectTimeout;
   }
   if (!isOutgoing_ && !wasOpen_) {
@@ -138,7 +138,7 @@
     connection_->Detach();
     owner_.retiredConnections_.push_back(std::move(connection_));
   }
-  isOpen_ = false;
+  gate_.OnInterrupted(owner_.loop_.Now());
 }
 
 void WebsocketLinks::Link::Reconnect(TimePoint aNow)
@@ -152,38 +152,36 @@
       ToMilliseconds(aNow - delivery_.WaitingSince().value_or(aNow)),
       ToMilliseconds(aNow - lastReceived_));
   DropConnection();
-  interruptedAt_ = aNow;
   Connect();
 }
 
 void WebsocketLinks::Link::OnConnected()
 {
   if (!isOutgoing_) {
-    isOpen_ = true;
+    gate_.OnOpened();
     owner_.OnOpened(*this);
     return;
   }
   owner_.OnOpened(*this);
   connection_->Send(Encode(LinkFrame(LinkEnvelope{ owner_.version_, SignedHello() })));
-  if (interruptedAt_.has_value()) {
+  if (gate_.State() == LinkState::Interrupted) {
     // The peer tells first what it has received.
     return;
   }
-  isOpen_ = true;
+  gate_.OnOpened();
   wasOpen_ = true;
   SendQueued();
 }
 
 void WebsocketLinks::Link::OnDisconnected()
 {
-  bool isInterrupted = interruptedAt_.has_value();
+  bool isInterrupted = gate_.State() == LinkState::Interrupted;
   if (isOutgoing_ && wasOpen_ && !isInterrupted && HasWork()) {
     Reconnect(owner_.loop_.Now());
     return;
   }
   if (!isOutgoing_ && wasOpen_) {
     DropConnection();
-    interruptedAt_ = owner_.loop_.Now();
     return;
   }
   owner_.Close(id_);
@@ -200,7 +198,7 @@
 
 void WebsocketLinks::Link::OnResumed(const LinkResumed& aResumed)
 {
-  if (!isOutgoing_ || !interruptedAt_.has_value()) {
+  if (!isOutgoing_ || gate_.State() != LinkState::Interrupted) {
     owner_.CloseWithError(id_, MakeError(ErrorKind::BrokenMessage, "the link is not interrupted"));
     return;
   }
@@ -216,9 +214,7 @@
 void WebsocketLinks::Link::Continue(uint64_t aReceivedByPeer)
 {
   TimePoint now = owner_.loop_.Now();
-  interruptedAt_.reset();
-  isOpen_ = true;
-  isVerifying_ = false;
+  gate_.OnContinued();
   lastReceived_ = now;
   if (!delivery_.OnAcknowledged(aReceivedByPeer, now)) {
     owner_.CloseWithError(
@@ -226,14 +222,15 @@
     return;
   }
   delivery_.OnResent(now);
-  Log(LogPart::Links,
-      LogLevel::Info,
-      "The link to {} continues over another connection: the peer has received {} frames; {} frames "
-      "are sent again and {} queued messages follow.",
-      peer_.has_value() ? ToText(*peer_) : "a peer",
-      aReceivedByPeer,
-      delivery_.Unacknowledged().size(),
-      queued_.size());
+  Log(
+    LogPart::Links,
+    LogLevel::Info,
+    "The link to {} continues over another connection: the peer has received {} frames; {} frames "
+    "are sent again and {} queued messages follow.",
+    peer_.has_value() ? ToText(*peer_) : "a peer",
+    aReceivedByPeer,
+    delivery_.Unacknowledged().size(),
+    queued_.size());
   for (const LinkDelivery::SentFrame& frame : delivery_.Unacknowledged()) {
     connection_->Send(frame.bytes);
   }
@@ -245,7 +242,7 @@
 {
   Hello hello = owner_.self_;
   hello.token = token_;
-  hello.resumes = interruptedAt_.has_value();
+  hello.resumes = gate_.State() == LinkState::Interrupted;
   hello.received = delivery_.Received();
   hello.proof =
     ToHex(owner_.keys_.Sign(SignaturePurpose::LinkFromOpener, HelloSignatureInput(hello)));
@@ -339,14 +336,14 @@
 
 void WebsocketLinks::Link::SendAck()
 {
-  if (isOpen_ && delivery_.OwesAck()) {
+  if (gate_.IsOpen() && delivery_.OwesAck()) {
     connection_->Send(Encode(LinkFrame(FrameAck{ delivery_.TakeAck() })));
   }
 }
 
 bool WebsocketLinks::Link::SendOneFragment()
 {
-  if (!isOpen_) {
+  if (!gate_.IsOpen()) {
     return false;
   }
   size_t before = fragmentSender_.BytesInFlight();
@@ -378,22 +375,28 @@
       id_, absl::PermissionDeniedError("the opener sent another frame before its hello message"));
     return;
   }
-  std::visit(
-    Overloaded{
-      [&](const LinkEnvelope& aEnvelope) { Receive(aEnvelope); },
-      [&](const Fragment& aFragment) { OnFragment(aFragment); },
-      [&](const FragmentCredit& aCredit) { OnCredit(aCredit); },
-      [&](const LinkProbe&) { CountReceived(); },
-      [&](const FrameAck& aAck) {
-        if (!delivery_.OnAcknowledged(aAck.received, owner_.loop_.Now())) {
-          owner_.CloseWithError(
-            id_,
-            MakeError(ErrorKind::BrokenMessage, "the peer acknowledges frames that were not sent"));
-        }
-      },
-      [&](const LinkResumed& aResumed) { OnResumed(aResumed); },
-    },
-    *frame);
+  std::visit(Overloaded{
+               [&](const LinkEnvelope& aEnvelope) { Receive(aEnvelope); },
+               [&](const Fragment& aFragment) { OnFragment(aFragment); },
+               [&](const FragmentCredit& aCredit) { OnCredit(aCredit); },
+               [&](const LinkProbe&) { CountReceived(); },
+               [&](const FrameAck& aAck) { OnAck(aAck); },
+               [&](const LinkResumed& aResumed) { OnResumed(aResumed); },
+             },
+             *frame);
+}
+
+void WebsocketLinks::Link::OnAck(const FrameAck& aAck)
+{
+  if (!delivery_.OnAcknowledged(aAck.received, owner_.loop_.Now())) {
+    owner_.CloseWithError(
+      id_, MakeError(ErrorKind::BrokenMessage, "the peer acknowledges frames that were not sent"));
+    return;
+  }
+  gate_.OnAcknowledged(aAck.received);
+  if (gate_.MaySendMessages()) {
+    SendQueued();
+  }
 }
 
 void WebsocketLinks::Link::OnCredit(const FragmentCredit& aCredit)
@@ -430,7 +433,7 @@
 
 void WebsocketLinks::Link::SendOwedCredits()
 {
-  if (!isOpen_) {
+  if (!gate_.IsOpen()) {
     return;
   }
   for (size_t bytes : std::exchange(owedCredits_, {})) {
@@ -441,17 +444,6 @@
 void WebsocketLinks::Link::OnBytesReceived()
 {
   lastReceived_ = owner_.loop_.Now();
-  if (isVerifying_) {
-    Log(LogPart::Links,
-        LogLevel::Info,
-        "Bytes arrived from {}, {}; {} queued messages are sent.",
-        ToText(*peer_),
-        interruptedAt_.has_value() ? "which has not yet said where the link continues"
-                                   : "which was silent",
-        queued_.size());
-    isVerifying_ = false;
-    SendQueued();
-  }
 }
 
 } // namespace dandelion
--- a/src/wire/WebsocketLink.h
+++ b/src/wire/WebsocketLink.h
@@ -6,6 +6,7 @@
 #include "wire/Fragments.h"
 #include "wire/LinkConnection.h"
 #include "wire/LinkDelivery.h"
+#include "wire/LinkGate.h"
 #include "wire/WebsocketLinks.h"
 
 namespace dandelion {
@@ -51,7 +52,7 @@
   void SetPeer(const Endpoint& aPeer) { peer_ = aPeer; }
   const std::optional<Endpoint>& Peer() const { return peer_; }
   Lane LaneOf() const { return lane_; }
-  bool IsOpen() const { return isOpen_; }
+  bool IsOpen() const { return gate_.IsOpen(); }
   bool WasOpen() const { return wasOpen_; }
   /// Whether a connection was started.
   bool IsConnecting() const { return connection_ != nullptr; }
@@ -85,9 +86,10 @@
   /// Sends the frames again that the peer has not received, and what was queued meanwhile.
   void Continue(uint64_t aReceivedByPeer);
   void OnResumed(const LinkResumed& aResumed);
+  void OnAck(const FrameAck& aAck);
   /// Whether anything would be lost if the link were closed now.
   bool HasWork() const;
-  /// Sends a frame that must arrive, also over a later connection.
+  /// Sends a frame that must arrive, also over a later connection. The gate must be open.
   void SendNumbered(const LinkFrame& aFrame);
 
   /// Verifies the proof in a hello message. Returns whether the peer is authenticated. No other
@@ -106,18 +108,14 @@
   TimePoint createdAt_;
   TimePoint lastReceived_;
   TimePoint lastUsed_;
-  /// Since when an opener tries to continue over another connection, or an accepted link waits for
-  /// one.
-  std::optional<TimePoint> interruptedAt_;
   std::unique_ptr<LinkConnection> connection_;
+  LinkGate gate_;
   LinkDelivery delivery_;
   uint64_t token_ = 0;
   std::optional<Endpoint> peer_;
   bool isOutgoing_ = false;
   /// Whether the link was open before; then it may be continued.
   bool wasOpen_ = false;
-  bool isOpen_ = false;
-  bool isVerifying_ = false;
   bool isAuthenticated_ = false;
   int awaitedAnswers_ = 0;
   std::vector<LinkMessage> queued_;
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -10,6 +10,7 @@
 #include "wire/Http.h"
 #include "wire/HttpUpstream.h"
 #include "wire/LinkDelivery.h"
+#include "wire/LinkGate.h"
 #include "wire/Links.h"
 #include "wire/MemoryGuard.h"
 #include "wire/Messages.h"
--- a/test/correctness/SilentLinksContinue.cpp
+++ b/test/correctness/SilentLinksContinue.cpp
@@ -144,6 +144,33 @@
   cr_assert_eq(mesh.received.closed, 0);
 }
 
+/// Guards against a call that runs twice: messages that wait for the probe of an idle link were
+/// sent when the handshake of its next connection arrived, before the peer's count, and once more
+/// after it.
+Test(silent_links, call_queued_behind_a_probe_arrives_once)
+{
+  Mesh mesh;
+  mesh.Call(1);
+  cr_assert(RunUntil(mesh.loop, [&] { return mesh.answerer.calls.size() == 1; }));
+  mesh.answerer.Answer(1);
+  cr_assert(RunUntil(mesh.loop, [&] { return mesh.received.answers.size() == 1; }));
+  LinkId link = mesh.caller.Open(LoopbackOf(3), Lane::Short);
+  mesh.caller.AnswerReceived(link);
+  // A link that was idle for so long is probed before the next message.
+  RunFor(mesh.loop, milliseconds(5100));
+  mesh.SilenceOpenConnections();
+  mesh.caller.Send(link, CancelCall{ 1 });
+  mesh.Call(2);
+  cr_assert(RunUntil(mesh.loop, [&] { return mesh.caller.Continuations() == 1; }));
+  cr_assert(RunUntil(mesh.loop, [&] { return mesh.answerer.calls.size() >= 2; }));
+  RunFor(mesh.loop, milliseconds(100));
+  cr_assert(mesh.answerer.calls == Ids({ 1, 2 }));
+  mesh.answerer.Answer(2);
+  cr_assert(RunUntil(mesh.loop, [&] { return mesh.received.answers.size() == 2; }));
+  cr_assert(mesh.received.answers == Ids({ 1, 2 }));
+  cr_assert_eq(mesh.received.closed, 0);
+}
+
 Test(silent_links, reset_connections_are_continued)
 {
   Mesh mesh;
--- a/test/property/LinksDeliverOnce.cpp
+++ b/test/property/LinksDeliverOnce.cpp
@@ -138,3 +138,58 @@
   now += kInitialAckTimeout;
   cr_assert(delivery.IsOverdue(now, now - milliseconds(50)));
 }
+
+/// Guards against frames that arrive twice because they are sent before the peer has said where an
+/// interrupted link continues.
+Test(link_gate, nothing_is_sent_before_an_interrupted_link_continues)
+{
+  enum class Event
+  {
+    Interrupted,
+    Continued,
+    ProbeSent,
+    Acknowledged,
+  };
+  cr_assert(rc::check("only the peer's count opens an interrupted link", [] {
+    LinkGate gate;
+    gate.OnOpened();
+    bool isInterrupted = false;
+    int steps = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < steps; ++i) {
+      switch (static_cast<Event>(*rc::gen::inRange(0, 4))) {
+        case Event::Interrupted:
+          gate.OnInterrupted(TimePoint());
+          isInterrupted = true;
+          break;
+        case Event::Continued:
+          gate.OnContinued();
+          isInterrupted = false;
+          break;
+        case Event::ProbeSent:
+          if (gate.MaySendMessages()) {
+            gate.BeginVerification(*rc::gen::inRange<uint64_t>(1, 10));
+          }
+          break;
+        case Event::Acknowledged:
+          gate.OnAcknowledged(*rc::gen::inRange<uint64_t>(0, 10));
+          break;
+      }
+      RC_ASSERT(gate.IsOpen() != isInterrupted);
+      RC_ASSERT(gate.InterruptedAt().has_value() == isInterrupted);
+      RC_ASSERT(!gate.MaySendMessages() || !isInterrupted);
+    }
+  }));
+}
+
+/// Bytes that arrived before the probe was sent do not show that the connection still works.
+Test(link_gate, messages_wait_until_the_probe_is_acknowledged)
+{
+  LinkGate gate;
+  gate.OnOpened();
+  gate.BeginVerification(7);
+  cr_assert(gate.IsOpen());
+  gate.OnAcknowledged(6);
+  cr_assert_not(gate.MaySendMessages());
+  gate.OnAcknowledged(7);
+  cr_assert(gate.MaySendMessages());
+}
