Refuse messages with malformed heads in both directions

Cause: http_parser is lenient (spaces in header names, folded lines, control characters in targets and values, codings that are not decoded, an empty Content-Length, any version), and the node wrote what it had parsed.

Change: HttpHeadCheck decides whether a head is well formed, before any other code sees it. All ports and clients share it. A malformed request gets 400 at once; a malformed answer has an unknown outcome, so safe calls are sent elsewhere. The log names the fault.

--- a/src/kernel/Log.h
+++ b/src/kernel/Log.h
@@ -42,6 +42,7 @@
   Membership,
   Spreading,
   Links,
+  Http,
   Upstream,
   Admission,
   Calls,
@@ -58,10 +59,10 @@
     { LogPart::Kernel, "kernel" },       { LogPart::Store, "store" },
     { LogPart::Releases, "releases" },   { LogPart::Membership, "membership" },
     { LogPart::Spreading, "spreading" }, { LogPart::Links, "links" },
-    { LogPart::Upstream, "upstream" },   { LogPart::Admission, "admission" },
-    { LogPart::Calls, "calls" },         { LogPart::Accounts, "accounts" },
-    { LogPart::Front, "front" },         { LogPart::Operator, "operator" },
-    { LogPart::Tool, "tool" },
+    { LogPart::Http, "http" },           { LogPart::Upstream, "upstream" },
+    { LogPart::Admission, "admission" }, { LogPart::Calls, "calls" },
+    { LogPart::Accounts, "accounts" },   { LogPart::Front, "front" },
+    { LogPart::Operator, "operator" },   { LogPart::Tool, "tool" },
   };
 };
 
--- a/src/wire/Http.h
+++ b/src/wire/Http.h
@@ -139,6 +139,9 @@
   HttpResponse response;
   /// Whether the connection carried no other request before, so that no answer to one can arrive.
   bool isFirstOnConnection = true;
+  /// Why the bytes that arrived are no response; empty where none arrived or another reason
+  /// applies.
+  std::string parseFault = {};
 };
 
 /// Options of one request.
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -164,6 +164,12 @@
   void DeliverBody();
   void Complete(bool aKeepsAlive);
   void Fail() { client_.Finish(request_, HttpResult{ HttpOutcome::Lost, {} }); }
+  void FailToParse()
+  {
+    HttpResult result;
+    result.parseFault = std::string(NameOf(parser_.FaultOfHead()));
+    client_.Finish(request_, std::move(result));
+  }
 
   HttpClient& client_;
   Endpoint server_;
@@ -198,7 +204,7 @@
       reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(contiguous)));
     evbuffer_drain(input, parser_.Feed(bytes, contiguous));
     if (parser_.ParseError() != HttpParseError::None) {
-      Fail();
+      FailToParse();
       return;
     }
     DeliverBody();
--- a/src/wire/HttpConnection.cpp
+++ b/src/wire/HttpConnection.cpp
@@ -205,7 +205,13 @@
   size_t consumed = parser_.Feed(bytes, contiguous);
   evbuffer_drain(input, consumed);
   if (parser_.ParseError() != HttpParseError::None) {
-    Reject(StatusFor(parser_.ParseError()));
+    int status = StatusFor(parser_.ParseError());
+    Log(LogPart::Http,
+        LogLevel::Warning,
+        "A request was refused with {}; its fault: {}.",
+        status,
+        NameOf(parser_.FaultOfHead()));
+    Reject(status);
     return false;
   }
   return true;
--- a/src/wire/HttpMessageParser.cpp
+++ b/src/wire/HttpMessageParser.cpp
@@ -32,6 +32,8 @@
   hasStarted_ = hasHeaders_ = isComplete_ = isBodilessRead_ = hasValue_ = false;
   keepsAlive_ = true;
   parseError_ = HttpParseError::None;
+  headCheck_ = HttpHeadCheck();
+  headFault_ = HeadFault::None;
   headerBytes_ = bodyBytes_ = 0;
   target_.clear();
   name_.clear();
@@ -140,12 +142,23 @@
   return true;
 }
 
+void HttpMessageParser::RejectHead(HeadFault aFault)
+{
+  parseError_ = HttpParseError::Malformed;
+  headFault_ = aFault;
+}
+
 int HttpMessageParser::OnHeadersComplete()
 {
   if (hasValue_ || !name_.empty()) {
     AddHeader();
   }
   hasHeaders_ = true;
+  HeadFault fault = CheckFraming(parser_.http_major, headers_);
+  if (fault != HeadFault::None) {
+    RejectHead(fault);
+    return -1;
+  }
   bool isTooLong = parser_.content_length != ULLONG_MAX && (parser_.flags & F_CHUNKED) == 0 &&
                    parser_.content_length > limits_.maxBodyBytes;
   if (isTooLong) {
@@ -163,6 +176,11 @@
 size_t HttpMessageParser::Feed(const char* aBytes, size_t aCount)
 {
   static const http_parser_settings kCallbacks = MakeCallbacks();
+  HeadFault fault = headCheck_.Check(std::string_view(aBytes, aCount));
+  if (fault != HeadFault::None) {
+    RejectHead(fault);
+    return aCount;
+  }
   size_t consumed = http_parser_execute(&parser_, &kCallbacks, aBytes, aCount);
   http_errno error = HTTP_PARSER_ERRNO(&parser_);
   bool isBroken = error != HPE_OK && error != HPE_PAUSED;
--- a/src/wire/HttpMessageParser.h
+++ b/src/wire/HttpMessageParser.h
@@ -3,6 +3,7 @@
 #define DANDELION_WIRE_HTTP_MESSAGE_PARSER_H
 
 #include "wire/Http.h"
+#include "wire/HttpHeadCheck.h"
 
 #include <http_parser.h>
 
@@ -47,6 +48,8 @@
   bool HasHeaders() const { return hasHeaders_; }
   bool IsComplete() const { return isComplete_; }
   HttpParseError ParseError() const { return parseError_; }
+  /// What is malformed in the head, where that is the reason of the error.
+  HeadFault FaultOfHead() const { return headFault_; }
   /// Whether the connection stays open after this message.
   bool KeepsAlive() const { return keepsAlive_; }
   bool ExpectsContinue() const;
@@ -68,6 +71,7 @@
   bool CountHeaderBytes(size_t aBytes);
   void AppendBody(const char* aBytes, size_t aCount);
   int OnHeadersComplete();
+  void RejectHead(HeadFault aFault);
 
   HttpSide side_;
   HttpLimits limits_;
@@ -79,6 +83,8 @@
   bool isBodilessRead_ = false;
   bool keepsAlive_ = true;
   HttpParseError parseError_ = HttpParseError::None;
+  HttpHeadCheck headCheck_;
+  HeadFault headFault_ = HeadFault::None;
   size_t headerBytes_ = 0;
   size_t bodyBytes_ = 0;
   std::string target_;
--- a/src/wire/UpstreamAnswer.cpp
+++ b/src/wire/UpstreamAnswer.cpp
@@ -79,6 +79,9 @@
   if (aResult.outcome != HttpOutcome::Answered) {
     result.hasReachedUpstream = aResult.outcome == HttpOutcome::Lost;
     result.outcome = result.hasReachedUpstream ? CallOutcome::Unknown : CallOutcome::NotRun;
+    if (!aResult.parseFault.empty()) {
+      result.rejectReason = "malformed answer: " + aResult.parseFault;
+    }
     return result;
   }
   const HttpResponse& response = aResult.response;
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -8,6 +8,7 @@
 #include "wire/EtcdStore.h"
 #include "wire/Fragments.h"
 #include "wire/Http.h"
+#include "wire/HttpHeadCheck.h"
 #include "wire/HttpUpstream.h"
 #include "wire/LinkDelivery.h"
 #include "wire/LinkGate.h"
