Drop trailer fields in place of taking them for headers

What callers would have seen: of two or more fields behind a chunked body, all but the last became headers. A refusal header among them made a call that had run count as not run (REFUSED, TWICE).

Cause: http_parser reports headers and trailer fields through the same callbacks, and the parser did not tell them apart.

Evidence: trailers::are_not_headers failed before ("result.outcome == CallOutcome::Ran is false"), and so did with_malformed_names_make_a_message_malformed.

Change: trailer fields are checked, counted against the limit of header bytes, and dropped.

--- a/src/wire/HttpHeadCheck.h
+++ b/src/wire/HttpHeadCheck.h
@@ -29,7 +29,7 @@
 struct EnumNames<HeadFault>
 {
   static constexpr EnumName<HeadFault> kTable[] = {
-    { HeadFault::None, "not in its head" },
+    { HeadFault::None, "not in its headers" },
     { HeadFault::StartLine, "a control character in the start line" },
     { HeadFault::HeaderName, "a header name that is not a token" },
     { HeadFault::HeaderValue, "a control character in a header value" },
@@ -69,7 +69,7 @@
   bool hasHeaderLine_ = false;
 };
 
-/// Whether all bytes may occur in a header name.
+/// Whether the name of a header or of a trailer field is valid.
 bool IsToken(std::string_view aName);
 
 /// Checks the version and the headers that frame the body. The parser has checked that there are
--- a/src/wire/HttpMessageParser.cpp
+++ b/src/wire/HttpMessageParser.cpp
@@ -63,6 +63,9 @@
   };
   settings.on_header_field = [](http_parser* aParser, const char* aBytes, size_t aCount) {
     HttpMessageParser& self = Self(aParser);
+    if (self.hasHeaders_) {
+      return self.OnTrailerName(std::string_view(aBytes, aCount)) ? 0 : 1;
+    }
     if (self.hasValue_) {
       self.AddHeader();
     }
@@ -71,8 +74,10 @@
   };
   settings.on_header_value = [](http_parser* aParser, const char* aBytes, size_t aCount) {
     HttpMessageParser& self = Self(aParser);
-    self.hasValue_ = true;
-    self.value_.append(aBytes, aCount);
+    if (!self.hasHeaders_) {
+      self.hasValue_ = true;
+      self.value_.append(aBytes, aCount);
+    }
     return self.CountHeaderBytes(aCount) ? 0 : 1;
   };
   settings.on_headers_complete = [](http_parser* aParser) {
@@ -110,6 +115,17 @@
   hasValue_ = false;
 }
 
+bool HttpMessageParser::OnTrailerName(std::string_view aBytes)
+{
+  // The fields behind a chunked body are checked and dropped: as headers, they could change what
+  // the message means.
+  if (!aBytes.empty() && !IsToken(aBytes)) {
+    RejectHead(HeadFault::HeaderName);
+    return false;
+  }
+  return CountHeaderBytes(aBytes.size());
+}
+
 void HttpMessageParser::AppendBody(const char* aBytes, size_t aCount)
 {
   size_t needed = body_.size() + aCount;
--- a/src/wire/HttpMessageParser.h
+++ b/src/wire/HttpMessageParser.h
@@ -68,6 +68,8 @@
   static HttpMessageParser& Self(http_parser* aParser);
   static http_parser_settings MakeCallbacks();
   void AddHeader();
+  /// Processes a part of the name of a field behind a chunked body. Returns whether it is valid.
+  bool OnTrailerName(std::string_view aBytes);
   bool CountHeaderBytes(size_t aBytes);
   void AppendBody(const char* aBytes, size_t aCount);
   int OnHeadersComplete();
--- a/test/error/MalformedHeads.cpp
+++ b/test/error/MalformedHeads.cpp
@@ -70,6 +70,8 @@
 struct Answered
 {
   bool wasHandled = false;
+  /// Of the request that was handled.
+  HttpHeaders headers;
   std::string bytes;
 };
 
@@ -79,6 +81,7 @@
   Answered answered;
   HttpServer server(loop, [&](const std::shared_ptr<HttpExchange>& aExchange) {
     answered.wasHandled = true;
+    answered.headers = aExchange->Request().headers;
     aExchange->Reply(HttpResponse());
   });
   cr_assert(server.Listen(LoopbackOf(1), HttpLimits()).ok());
@@ -188,3 +191,33 @@
     cr_assert(result.outcome == CallOutcome::Ran, "rejected: \"%s\"", line.c_str());
   }
 }
+
+/// Guards against fields behind a chunked body that are taken for headers of its message: a refusal
+/// header among them made a call that had run count as not run.
+Test(trailers, are_not_headers)
+{
+  UpstreamResult result =
+    CallUpstream("HTTP/1.1 200 OK\r\n" + kIdentity +
+                 "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+                 "Dandelionvale-Not-Executed: 1\r\nX-Trailer: 2\r\nX-Last: 3\r\n\r\n");
+  cr_assert(result.outcome == CallOutcome::Ran);
+  cr_assert(result.body.Text() == "whole");
+  for (const HeaderField& header : result.headers) {
+    cr_assert(header.name != "X-Trailer");
+  }
+  Answered answered = SendToServer("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+                                   "X-Trailer: 1\r\nX-Last: 2\r\n\r\n");
+  cr_assert(answered.wasHandled);
+  cr_assert_eq(answered.headers.size(), 1);
+}
+
+Test(trailers, with_malformed_names_make_a_message_malformed)
+{
+  for (const char* trailer : { "X Trailer: 1", "X-Trailer : 1" }) {
+    const std::string chunks =
+      "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + std::string(trailer) + "\r\n\r\n";
+    UpstreamResult result = CallUpstream("HTTP/1.1 200 OK\r\n" + kIdentity + chunks);
+    cr_assert(result.outcome == CallOutcome::Unknown);
+    cr_assert_not(SendToServer("POST /a HTTP/1.1\r\n" + chunks).wasHandled);
+  }
+}
