Open the first upstream of a process only by its health check

Cause: a process does not know what the one before it has acknowledged, and any report may be from before. The node asked the upstream once and believed reports afterwards: two that arrived 0.8 s apart, the first one if the check was not answered, and any that overtook the check or the configuration.

Evidence: the node's log. "The health check returned 503", report 5 with 0 slots open, report 6 0.9 s later with 18.

Change: UpstreamTracker opens the first upstream only when a health check made by this process has passed for it. The service asks at the start, at each report "ready" until then, and again while there is no answer.

--- a/src/admission/UpstreamTracker.cpp
+++ b/src/admission/UpstreamTracker.cpp
@@ -9,9 +9,6 @@
 
 /// Slots assumed for an upstream that passed the health check and has sent no report.
 constexpr int64_t kSlotsBeforeFirstReport = 2;
-/// After a failed health check the upstream counts as ready once a report "ready" arrives this long
-/// after the first one. Delayed reports of an upstream that has left do not arrive so far apart.
-constexpr Duration kReadyConfirmationTime = milliseconds(800);
 /// Versions may turn bad 3 s after the start of their upstream. Its first report may be sent
 /// before.
 constexpr Duration kMinWarmupTime = milliseconds(3500);
@@ -67,11 +64,10 @@
     warmAt_ = std::max(isFirst ? aNow + kMinWarmupTime : warmAt_, aNow + aReport.warmupLeft);
     softwareVersion_ = aReport.softwareVersion;
   }
-  if (isUnhealthy_ && aReport.condition == UpstreamCondition::Ready) {
-    if (!firstReadyAfterUnhealthy_.has_value()) {
-      firstReadyAfterUnhealthy_ = aNow;
-    }
-    isUnhealthy_ = aNow - *firstReadyAfterUnhealthy_ < kReadyConfirmationTime;
+  bool isOtherThanHealthy = sequence_ < 0 && !id_.empty() && aReport.id != id_;
+  if (isOtherThanHealthy) {
+    // Nothing tells yet which of the two started later.
+    isConfirmed_ = false;
   }
   id_ = aReport.id;
   startTimeMs_ = aReport.startTimeMs.has_value() ? aReport.startTimeMs : startTimeMs_;
@@ -86,21 +82,25 @@
 
 void UpstreamTracker::HandleHealthCheck(const HealthCheckResult& aResult)
 {
-  if (condition_.has_value()) {
+  if (isConfirmed_ || aResult.status != HealthStatus::Healthy) {
     return;
   }
-  if (!aResult.isHealthy) {
-    isUnhealthy_ = true;
+  if (AwaitsHealthCheck() && aResult.id != id_) {
+    // The report was late: another upstream runs. Its reports must not be compared with that one.
+    *this = UpstreamTracker(service_);
     return;
   }
-  id_ = aResult.id;
-  slots_ = kSlotsBeforeFirstReport;
-  condition_ = UpstreamCondition::Ready;
+  if (!condition_.has_value()) {
+    id_ = aResult.id;
+    slots_ = kSlotsBeforeFirstReport;
+    condition_ = UpstreamCondition::Ready;
+  }
+  isConfirmed_ = condition_ == UpstreamCondition::Ready;
 }
 
 bool UpstreamTracker::AcceptsWork() const
 {
-  return condition_ == UpstreamCondition::Ready && !isUnhealthy_;
+  return condition_ == UpstreamCondition::Ready && isConfirmed_;
 }
 
 } // namespace dandelion
--- a/src/admission/UpstreamTracker.h
+++ b/src/admission/UpstreamTracker.h
@@ -46,10 +46,30 @@
   Duration warmupLeft = Duration::zero();
 };
 
+enum class HealthStatus
+{
+  Healthy,
+  /// The upstream leaves or fails.
+  Unhealthy,
+  /// The upstream did not answer, or had no room for the check.
+  Unknown,
+};
+
+template<>
+struct EnumNames<HealthStatus>
+{
+  static constexpr EnumName<HealthStatus> kTable[] = {
+    { HealthStatus::Healthy, "healthy" },
+    { HealthStatus::Unhealthy, "unhealthy" },
+    { HealthStatus::Unknown, "unknown" },
+  };
+};
+
 /// Result of the upstream's health check.
 struct HealthCheckResult
 {
-  bool isHealthy = false;
+  HealthStatus status = HealthStatus::Unknown;
+  /// Id of the upstream that answered.
   std::string id;
 };
 
@@ -75,6 +95,9 @@
   };
 };
 
+/// A node that has just started does not know which leavings an earlier process has acknowledged,
+/// and a report may be from before one of them. So the first upstream has to confirm by its health
+/// check that it accepts work; from then on this process sees every report.
 class UpstreamTracker
 {
 public:
@@ -82,9 +105,13 @@
 
   /// Updates the state by a report, unless the report is stale or of another service.
   ReportVerdict HandleReport(const UpstreamReport& aReport, TimePoint aNow);
-  /// Handles the result of the health check that a node makes when it starts. It has no effect once
-  /// a report has been applied or an earlier check has passed.
+  /// Handles the result of a health check that was made by this process.
   void HandleHealthCheck(const HealthCheckResult& aResult);
+  /// Records that the service has no health check. Reports are believed then.
+  void HandleNoHealthCheck() { isConfirmed_ = true; }
+
+  /// Whether a report says that the upstream is ready, and only its health check is missing.
+  bool AwaitsHealthCheck() const { return condition_ == UpstreamCondition::Ready && !isConfirmed_; }
 
   /// Whether calls may be sent to the tracked incarnation.
   bool AcceptsWork() const;
@@ -109,11 +136,8 @@
   std::optional<UpstreamCondition> condition_;
   std::optional<std::string> softwareVersion_;
   TimePoint warmAt_;
-  /// When the first report "ready" arrived after a failed health check. That report may have been
-  /// delayed since before the upstream left, so a second one is required.
-  std::optional<TimePoint> firstReadyAfterUnhealthy_;
-  /// The health check failed, and no second report has confirmed since that the upstream is ready.
-  bool isUnhealthy_ = false;
+  /// Whether a health check has shown that the upstream accepts work, or that an earlier one did.
+  bool isConfirmed_ = false;
 };
 
 } // namespace dandelion
--- a/src/dandeliond/UpstreamStateServices.cpp
+++ b/src/dandeliond/UpstreamStateServices.cpp
@@ -7,6 +7,9 @@
 /// Long enough for a health check that has to wait for a slot, as calls do.
 constexpr Duration kHealthCheckTimeout = seconds(1);
 constexpr int kHealthyStatus = 200;
+/// Delay after a health check without an answer. It doubles until the next report.
+constexpr Duration kMinHealthRetryDelay = milliseconds(250);
+constexpr Duration kMaxHealthRetryDelay = seconds(2);
 
 } // namespace
 
@@ -40,6 +43,7 @@
       [this](const std::shared_ptr<HttpExchange>& aExchange) { OnRequest(aExchange); },
       aContext.OtherCapacity())
   , client_(aContext.loop)
+  , healthRetryDelay_(kMinHealthRetryDelay)
 {
 }
 
@@ -82,6 +86,8 @@
     NotifyListeners();
   }
   aExchange->Reply(protocol_.acknowledge());
+  healthRetryDelay_ = kMinHealthRetryDelay;
+  QueryHealth();
 }
 
 void ReportedUpstreamService::NotifyListeners()
@@ -91,36 +97,72 @@
   }
 }
 
-/// Queries the health of the upstream once after the node starts. Without this, a node that starts
-/// beside a running upstream would serve nothing until the upstream's next report.
 void ReportedUpstreamService::QueryHealth()
 {
   const auto& services = releases_->Current()->services;
   auto service = services.find(context_.settings.service);
-  bool hasHealthPath = service != services.end() && !service->second.spec.healthPath.empty();
-  if (isHealthQueried_ || !hasHealthPath || !tracker_.Id().empty()) {
+  if (service == services.end()) {
     return;
   }
-  isHealthQueried_ = true;
+  if (service->second.spec.healthPath.empty()) {
+    bool acceptedWork = tracker_.AcceptsWork();
+    tracker_.HandleNoHealthCheck();
+    if (tracker_.AcceptsWork() != acceptedWork) {
+      NotifyListeners();
+    }
+    return;
+  }
+  // Without the first query, a node that starts beside a running upstream would serve nothing until
+  // the upstream's next report.
+  bool isFirst = !wasHealthQueried_ && tracker_.Id().empty();
+  if (isHealthQueryInProgress_ || (!isFirst && !tracker_.AwaitsHealthCheck())) {
+    return;
+  }
+  wasHealthQueried_ = true;
+  isHealthQueryInProgress_ = true;
   HttpRequest request;
   request.target = service->second.spec.healthPath;
-  client_.Send(
-    context_.settings.upstream, request, kHealthCheckTimeout, [this](const HttpResult& aResult) {
-      if (aResult.outcome != HttpOutcome::Answered) {
-        return;
-      }
-      HealthCheckResult answer;
-      answer.isHealthy = aResult.response.status == kHealthyStatus;
-      answer.id = FindHeader(aResult.response.headers, context_.headerNames.upstreamId);
-      tracker_.HandleHealthCheck(answer);
-      Log(LogPart::Upstream,
-          LogLevel::Info,
-          "The health check returned {} for \"{}\"; {} slots are open.",
-          aResult.response.status,
-          answer.id,
-          tracker_.Slots());
-      NotifyListeners();
-    });
+  client_.Send(context_.settings.upstream,
+               request,
+               kHealthCheckTimeout,
+               [this](const HttpResult& aResult) { OnHealthAnswer(aResult); });
+}
+
+HealthCheckResult ReportedUpstreamService::ReadHealth(const HttpResult& aResult) const
+{
+  HealthCheckResult health;
+  const HttpResponse& response = aResult.response;
+  // An upstream without room refuses the check like any other request.
+  bool isRefused = !FindHeader(response.headers, context_.headerNames.refusal).empty();
+  if (aResult.outcome != HttpOutcome::Answered || isRefused) {
+    return health;
+  }
+  health.id = FindHeader(response.headers, context_.headerNames.upstreamId);
+  if (response.status != kHealthyStatus) {
+    health.status = HealthStatus::Unhealthy;
+  } else if (!health.id.empty()) {
+    health.status = HealthStatus::Healthy;
+  }
+  return health;
+}
+
+void ReportedUpstreamService::OnHealthAnswer(const HttpResult& aResult)
+{
+  isHealthQueryInProgress_ = false;
+  HealthCheckResult health = ReadHealth(aResult);
+  tracker_.HandleHealthCheck(health);
+  Log(LogPart::Upstream,
+      LogLevel::Info,
+      "The health check says {} for \"{}\" (status {}); {} slots are open.",
+      NameOf(health.status),
+      health.id,
+      aResult.response.status,
+      tracker_.Slots());
+  NotifyListeners();
+  if (health.status == HealthStatus::Unknown && tracker_.AwaitsHealthCheck()) {
+    healthTimer_ = context_.loop.After(healthRetryDelay_, [this] { QueryHealth(); });
+    healthRetryDelay_ = std::min(kMaxHealthRetryDelay, 2 * healthRetryDelay_);
+  }
 }
 
 } // namespace dandelion
--- a/src/dandeliond/UpstreamStateServices.h
+++ b/src/dandeliond/UpstreamStateServices.h
@@ -55,7 +55,11 @@
   ReportedUpstreamService(const NodeContext& aContext, ReportProtocol aProtocol);
 
   absl::Status Start() override;
-  void Stop() override { server_.StopListening(); }
+  void Stop() override
+  {
+    healthTimer_.Cancel();
+    server_.StopListening();
+  }
   int64_t Slots() const override
   {
     bool isOpen = gate_ == nullptr || gate_->IsOpen();
@@ -75,7 +79,10 @@
 
 private:
   void OnRequest(const std::shared_ptr<HttpExchange>& aExchange);
+  /// Queries the health of the upstream where `tracker_` needs it.
   void QueryHealth();
+  void OnHealthAnswer(const HttpResult& aResult);
+  HealthCheckResult ReadHealth(const HttpResult& aResult) const;
   void NotifyListeners();
 
   const NodeContext& context_;
@@ -84,7 +91,10 @@
   UpstreamTracker tracker_;
   HttpServer server_;
   HttpClient client_;
-  bool isHealthQueried_ = false;
+  bool wasHealthQueried_ = false;
+  bool isHealthQueryInProgress_ = false;
+  Duration healthRetryDelay_;
+  Timer healthTimer_;
   UpstreamGate* gate_ = nullptr;
   std::vector<std::function<void()>> listeners_;
 };
