Send answers whole before their connections count as idle

Cause: an answer counted as sent once it was in the output buffer. The stop, the idle time-out and the limit of connections all took a connection with such an answer for an idle or stalled one.

Change: a connection is busy while its client reads what is left, and bytes that leave count as activity. A client that reads nothing for 2 s does not delay a stop.

--- a/src/wire/Http.h
+++ b/src/wire/Http.h
@@ -91,10 +91,11 @@
   void SetLimits(const HttpLimits& aLimits) { limits_ = aLimits; }
   /// Adds `Connection: close` to all further responses.
   void BeginClosing() { isClosing_ = true; }
-  /// Accepts no new connections and closes idle ones. Exchanges in progress continue.
+  /// Accepts no new connections and closes idle ones. Exchanges in progress continue, and answers
+  /// are sent on. Repeated calls close what has become idle.
   void StopListening();
-  /// Number of connections with a partly read request, a pending response, or a last response that
-  /// is still being written.
+  /// Number of connections with a partly read request, a pending response, or a response that is
+  /// still being sent.
   size_t BusyConnections() const;
   size_t Connections() const { return connections_.size(); }
 
--- a/src/wire/HttpConnection.cpp
+++ b/src/wire/HttpConnection.cpp
@@ -24,6 +24,8 @@
 /// No further request of a connection is begun while its responses that are not yet sent take this
 /// many bytes, so that a client that reads slowly or asks for much cannot fill the memory.
 constexpr size_t kMaxHeldResponseBytes = 256 * 1024;
+/// A client that has read nothing of an answer for this time does not delay a planned stop.
+constexpr Duration kMaxReadStall = seconds(2);
 /// Retry-After of requests that are refused because the node is short of memory.
 constexpr const char* kRetryAfterSeconds = "1";
 
@@ -79,6 +81,7 @@
 {
   bufferevent_setcb(
     socket_, &Connection::OnReadable, &Connection::OnWritten, &Connection::OnSocketEvent, this);
+  evbuffer_add_cb(bufferevent_get_output(socket_), &Connection::OnOutput, this);
   bufferevent_setwatermark(socket_, EV_READ, 0, kMaxReadAheadBytes);
   bufferevent_enable(socket_, EV_READ | EV_WRITE);
 }
@@ -392,6 +395,16 @@
   self->server_.Close(self->id_);
 }
 
+void HttpServer::Connection::OnOutput(evbuffer* /* aBuffer */,
+                                      const evbuffer_cb_info* aInfo,
+                                      void* aContext)
+{
+  if (aInfo->n_deleted > 0) {
+    auto* self = static_cast<Connection*>(aContext);
+    self->lastActivity_ = self->server_.loop_.Now();
+  }
+}
+
 void HttpServer::Connection::CancelExchanges()
 {
   // All exchanges are detached before the first callback: a callback may complete another one.
@@ -421,9 +434,10 @@
   CancelExchanges();
 }
 
-bool HttpServer::Connection::IsBusy() const
+bool HttpServer::Connection::IsBusy(TimePoint aNow) const
 {
-  return !responses_.empty() || closesWhenWritten_ || parser_.HasStarted();
+  bool isSending = memory_.UnsentBytes() > 0 && aNow - lastActivity_ < kMaxReadStall;
+  return !responses_.empty() || isSending || parser_.HasStarted();
 }
 
 ConnectionState HttpServer::Connection::State() const
--- a/src/wire/HttpConnection.h
+++ b/src/wire/HttpConnection.h
@@ -56,7 +56,9 @@
   /// Stops all socket callbacks and notifies the handler that the client has disconnected.
   void Detach();
 
-  bool IsBusy() const;
+  /// Whether a request is being read or answered, or an answer is still being sent to a client that
+  /// reads it.
+  bool IsBusy(TimePoint aNow) const;
   /// What matters for the choice of a connection to close for a new one.
   ConnectionState State() const;
   bool IsExpired(TimePoint aNow) const;
@@ -88,6 +90,7 @@
   static void OnReadable(bufferevent* aSocket, void* aContext);
   static void OnWritten(bufferevent* aSocket, void* aContext);
   static void OnSocketEvent(bufferevent* aSocket, short aEvents, void* aContext);
+  static void OnOutput(evbuffer* aBuffer, const evbuffer_cb_info* aInfo, void* aContext);
 
   HttpServer& server_;
   ConnectionId id_;
@@ -102,6 +105,7 @@
   bool isDetached_ = false;
   bool hasSentContinue_ = false;
   bool isReading_ = false;
+  /// When bytes were last received, or sent.
   TimePoint lastActivity_;
   TimePoint headBeganAt_;
 };
--- a/src/wire/HttpServer.cpp
+++ b/src/wire/HttpServer.cpp
@@ -134,7 +134,7 @@
   }
   std::vector<ConnectionId> idle;
   for (const auto& [id, connection] : connections_) {
-    if (!connection->IsBusy()) {
+    if (!connection->IsBusy(loop_.Now())) {
       idle.push_back(id);
     }
   }
@@ -147,7 +147,7 @@
 {
   size_t busy = 0;
   for (const auto& [id, connection] : connections_) {
-    busy += connection->IsBusy() ? 1 : 0;
+    busy += connection->IsBusy(loop_.Now()) ? 1 : 0;
   }
   return busy;
 }
