Take back unsent calls when the upstream leaves

Cause: the acknowledgement closed the admission queue, but a call that had its slot was left alone, also while its connection was not established and no byte of it had been written.

With the queue closed after the calls are taken back, upstreams_node::takes_back_unsent_calls_once_upstream_leaves failed: their slots went to waiting calls.

Change: when the upstream accepts no more work, the queue is closed and calls of which no byte has been written end as not run, before the report is acknowledged. Their refusals say "leaving".

--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -196,7 +196,7 @@
   }
   reply.hasReachedUpstream = aResult.hasReachedUpstream;
   if (aResult.outcome == CallOutcome::NotRun) {
-    reply.error = ErrorKind::Overloaded;
+    reply.error = upstreamState_->Slots() == 0 ? ErrorKind::Leaving : ErrorKind::Overloaded;
   } else if (aResult.outcome == CallOutcome::Unknown) {
     reply.error = ErrorKind::OutcomeUnknown;
   }
@@ -365,11 +365,13 @@
 void AdmissionService::ApplyUpstreamState()
 {
   int64_t slots = upstreamState_->Slots();
-  if (isDraining_) {
-    return;
-  }
   if (slots == 0) {
+    // The queue is closed first, so that the slots of calls that are taken back stay free.
     Execute(queue_.Close());
+    upstream_->WithdrawUnsent();
+    return;
+  }
+  if (isDraining_) {
     return;
   }
   queue_.Open();
--- a/src/wire/Http.h
+++ b/src/wire/Http.h
@@ -191,6 +191,9 @@
   /// Cancels a request and closes its connection. Its callbacks are not called.
   void Cancel(RequestId aId);
 
+  /// Ends all requests of which no byte has been written to a socket, with `NotSent`.
+  void FailUnsent();
+
   /// Bytes of response bodies that have arrived and are not complete.
   size_t BufferedBytes() const { return bufferedBytes_; }
 
--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -436,6 +436,19 @@
   }
 }
 
+void HttpClient::FailUnsent()
+{
+  std::vector<RequestId> unsent;
+  for (const auto& [id, pending] : pending_) {
+    if (!pending->connection->HasSent()) {
+      unsent.push_back(id);
+    }
+  }
+  for (RequestId id : unsent) {
+    FinishWithoutResponse(id);
+  }
+}
+
 void HttpClient::FinishWithoutResponse(RequestId aId)
 {
   auto found = pending_.find(aId);
--- a/src/wire/HttpUpstream.h
+++ b/src/wire/HttpUpstream.h
@@ -22,6 +22,7 @@
 
   RequestId Send(const OpenCall& aCall, OnResult aOnResult) override;
   void Cancel(RequestId aId) override { client_.Cancel(aId); }
+  void WithdrawUnsent() override { client_.FailUnsent(); }
 
 private:
   void RememberRefusal(const std::string& aRequestId);
--- a/src/wire/Upstream.h
+++ b/src/wire/Upstream.h
@@ -34,6 +34,9 @@
   virtual RequestId Send(const OpenCall& aCall, OnResult aOnResult) = 0;
   /// Cancels a call and the request to the upstream. Its callback is not called.
   virtual void Cancel(RequestId aId) = 0;
+  /// Ends the calls of which no byte has been written, as not run, before this returns. They could
+  /// reach an upstream long after it has begun to leave.
+  virtual void WithdrawUnsent() = 0;
 };
 
 } // namespace dandelion
--- a/test/correctness/AdmissionRefusesUnservableCalls.cpp
+++ b/test/correctness/AdmissionRefusesUnservableCalls.cpp
@@ -149,6 +149,24 @@
   cr_assert(fixture.replies.at(1).outcome == CallOutcome::Ran);
 }
 
+/// The slot of a call that is taken back must not let a waiting call reach the leaving upstream.
+Test(upstreams_node, takes_back_unsent_calls_once_upstream_leaves)
+{
+  Fixture fixture;
+  Upstream::OnResult onResult;
+  REQUIRE_CALL(*fixture.upstream, Send(_, _)).LR_SIDE_EFFECT(onResult = _2).RETURN(7u).TIMES(1);
+  fixture.Serve(fixture.MakeCall(1, 1));
+  fixture.Serve(fixture.MakeCall(2, 1));
+  fixture.upstream->onWithdrawUnsent = [&] {
+    onResult(UpstreamResult{ CallOutcome::NotRun, false, 0, {}, "", false });
+  };
+  fixture.upstreamState->Set(0);
+  for (uint64_t id : { 1, 2 }) {
+    cr_assert(fixture.replies.at(id).outcome == CallOutcome::NotRun);
+    cr_assert(fixture.replies.at(id).error == ErrorKind::Leaving);
+  }
+}
+
 Test(upstreams_node, sends_upstream_id_with_each_call)
 {
   // The id tells the upstream which incarnation the call is meant for.
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -38,6 +38,13 @@
 public:
   IMPLEMENT_MOCK2(Send);
   IMPLEMENT_MOCK1(Cancel);
+  void WithdrawUnsent() override
+  {
+    if (onWithdrawUnsent) {
+      onWithdrawUnsent();
+    }
+  }
+  std::function<void()> onWithdrawUnsent;
 };
 
 class MockAdmission
