The simulated path delivers the bytes of a connection in order

silent_links::answer_sent_into_silence_arrives_once failed once beside load: "a message of 491832 bytes cannot be decoded", with one fragment missing.

Cause: LinkStandin gave each piece a timer of its own. The delay was counted from the real time, the timer from the time at which the iteration of the loop had begun, so on a late loop a piece could be delivered before an earlier one, which TCP never does.

Evidence: link_standin::delivers_the_bytes_of_a_connection_in_order failed before ("byte 4000").

Change: each direction has one queue of deliveries and one timer.

--- a/tools/LinkStandin.cpp
+++ b/tools/LinkStandin.cpp
@@ -282,16 +282,31 @@
                            std::function<void()> aDeliver)
 {
   TimePoint now = loop_.Now();
-  TimePoint& freeAt = freeAt_[aDirection];
+  Direction& direction = directions_[aDirection];
   int64_t bits = static_cast<int64_t>(aBytes) * kBitsPerByte;
   Duration transmissionTime(bits * kMicrosecondsPerMillisecond / traits_.kilobitsPerSecond);
-  freeAt = std::max(freeAt, now) + transmissionTime;
-  uint64_t id = nextTimer_++;
-  timers_[id] = loop_.After(freeAt - now + milliseconds(traits_.delayMs),
-                            [this, id, deliver = std::move(aDeliver)] {
-                              deliver();
-                              timers_.erase(id);
-                            });
+  direction.freeAt = std::max(direction.freeAt, now) + transmissionTime;
+  direction.deliveries.push_back(
+    { direction.freeAt + milliseconds(traits_.delayMs), std::move(aDeliver) });
+  if (!direction.timer.IsPending()) {
+    DeliverDue(direction);
+  }
+}
+
+void LinkStandin::DeliverDue(Direction& aDirection)
+{
+  TimePoint now = loop_.Now();
+  std::deque<Direction::Delivery>& deliveries = aDirection.deliveries;
+  while (!deliveries.empty() && deliveries.front().at <= now) {
+    std::function<void()> deliver = std::move(deliveries.front().deliver);
+    deliveries.pop_front();
+    deliver();
+  }
+  aDirection.timer.Cancel();
+  if (!deliveries.empty()) {
+    aDirection.timer =
+      loop_.After(deliveries.front().at - now, [this, &aDirection] { DeliverDue(aDirection); });
+  }
 }
 
 void LinkStandin::Accept(const LinkMapping& aMapping, int aSocket)
--- a/tools/LinkStandin.h
+++ b/tools/LinkStandin.h
@@ -5,6 +5,7 @@
 
 #include "wire/Wire.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -78,9 +79,24 @@
   class UdpForwarder;
 
   void OnControl(const std::shared_ptr<HttpExchange>& aExchange);
+  /// What is under way in one direction, in the order of its arrival.
+  struct Direction
+  {
+    struct Delivery
+    {
+      TimePoint at;
+      std::function<void()> deliver;
+    };
+    TimePoint freeAt;
+    std::deque<Delivery> deliveries;
+    Timer timer;
+  };
+
   /// Simulates the transmission of `aBytes` in a direction: runs `aDeliver` after the transmission
   /// time at the limited rate and the delay.
   void Transmit(const std::string& aDirection, size_t aBytes, std::function<void()> aDeliver);
+  /// Runs the deliveries that are due, and waits for the next one.
+  void DeliverDue(Direction& aDirection);
   void Accept(const LinkMapping& aMapping, int aSocket);
 
   Loop& loop_;
@@ -91,11 +107,9 @@
   std::vector<std::unique_ptr<UdpForwarder>> udp_;
   uint64_t nextId_ = 1;
   std::map<uint64_t, std::unique_ptr<TcpForwarder>> tcp_;
-  std::map<std::string, TimePoint> freeAt_;
+  std::map<std::string, Direction> directions_;
   std::map<std::string, uint64_t> tcpBytes_;
   std::map<std::string, uint64_t> udpBytes_;
-  uint64_t nextTimer_ = 1;
-  std::map<uint64_t, Timer> timers_;
 };
 
 } // namespace dandelion
