--- a/src/wire/HttpClient.cpp
+++ b/src/wire/HttpClient.cpp
@@ -163,12 +163,9 @@
   void CountBufferedBytes();
   void DeliverBody();
   void Complete(bool aKeepsAlive);
-  void Fail() { client_.Finish(request_, HttpResult{ HttpOutcome::Lost, {} }); }
-  void FailToParse()
+  void Fail(std::string aParseFault = {})
   {
-    HttpResult result;
-    result.parseFault = std::string(NameOf(parser_.FaultOfHead()));
-    client_.Finish(request_, std::move(result));
+    client_.Finish(request_, HttpResult{ HttpOutcome::Lost, {}, true, std::move(aParseFault) });
   }
 
   HttpClient& client_;
@@ -204,7 +201,7 @@
       reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(contiguous)));
     evbuffer_drain(input, parser_.Feed(bytes, contiguous));
     if (parser_.ParseError() != HttpParseError::None) {
-      FailToParse();
+      Fail(std::string(NameOf(parser_.FaultOfHead())));
       return;
     }
     DeliverBody();
@@ -296,8 +293,7 @@
       return;
     }
   }
-  HttpOutcome outcome = hasSent_ ? HttpOutcome::Lost : HttpOutcome::NotSent;
-  client_.Finish(request_, HttpResult{ outcome, {} });
+  client_.Finish(request_, HttpResult{ hasSent_ ? HttpOutcome::Lost : HttpOutcome::NotSent, {} });
 }
 
 HttpClient::HttpClient(Loop& aLoop, MemoryGuard* aMemory)
