Log the limits that upstreams name, and what they are sent

An upstream in need names in its answers how many calls a second it takes. No line told of it, so the hypotheses for calls beyond it could not be told apart. The upstream's node now logs when a limit begins, changes and ends, and once a second what it sent meanwhile. Nothing acts on it.

--- a/src/admission/Admission.h
+++ b/src/admission/Admission.h
@@ -7,6 +7,7 @@
 #include "admission/AdmissionQueue.h"
 #include "admission/SlotQueue.h"
 #include "admission/TargetQueue.h"
+#include "admission/UpstreamNotices.h"
 #include "admission/UpstreamTracker.h"
 
 #endif
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kExpiryCheckPeriod = milliseconds(50);
+/// Time between two lines about a limit that the upstream goes on naming.
+constexpr Duration kLimitLogPeriod = seconds(1);
 /// Slots of the queue until the state of the upstream is first read.
 constexpr int64_t kInitialSlots = 1;
 /// Answers of this size occupy the link of a weak machine noticeably (18 ms at 7 Mbit/s).
@@ -57,6 +59,7 @@
   upstreamState_ = &registry.Find<UpstreamState>(ServiceName::UpstreamState);
   upstreamState_->AddListener([this] { ApplyUpstreamState(); });
   ApplyUpstreamState();
+  limitLoggedAt_ = context_.loop.Now();
   CheckExpired();
   return absl::OkStatus();
 }
@@ -167,6 +170,7 @@
   }
   metrics_->Observe(
     HistogramName::QueueTime, ClassLabel(pending.call.trafficClass), now - pending.arrivedAt);
+  ++sentSinceLimitLog_;
   pending.request = upstream_->Send(pending.call, [this, aTicket](const UpstreamResult& aResult) {
     OnUpstreamResult(aTicket, aResult);
   });
@@ -183,6 +187,9 @@
     metrics_->Observe(
       HistogramName::UpstreamTime, label, context_.loop.Now() - pending->second.startedAt);
   }
+  if (aResult.notices.has_value()) {
+    LogLimit(*aResult.notices);
+  }
   CallReply reply;
   reply.outcome = aResult.outcome;
   reply.isRetried = aResult.isRetried;
@@ -418,6 +425,28 @@
   return Duration(static_cast<int64_t>(bits / context_.settings.machine.linkMbps));
 }
 
+void AdmissionService::LogLimit(const UpstreamNotices& aNotices)
+{
+  TimePoint now = context_.loop.Now();
+  bool isSame = aNotices.maxCallsPerSecond == namedLimit_;
+  if (isSame && (!namedLimit_.has_value() || now - limitLoggedAt_ < kLimitLogPeriod)) {
+    return;
+  }
+  std::string limit = aNotices.maxCallsPerSecond.has_value()
+                        ? fmt::format("at most {:.1f} calls a second", *aNotices.maxCallsPerSecond)
+                        : "any number of calls";
+  Log(LogPart::Admission,
+      LogLevel::Info,
+      "Upstream {} takes {}; it was sent {} in the last {} ms.",
+      upstreamState_->Id(),
+      limit,
+      sentSinceLimitLog_,
+      ToMilliseconds(now - limitLoggedAt_));
+  namedLimit_ = aNotices.maxCallsPerSecond;
+  limitLoggedAt_ = now;
+  sentSinceLimitLog_ = 0;
+}
+
 void AdmissionService::LogOutcome(const PendingCall& aPending, const UpstreamResult& aResult) const
 {
   LogRequest(LogPart::Admission,
--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -53,6 +53,9 @@
   void Refuse(Ticket aTicket, ErrorKind aReason);
   void Reply(Ticket aTicket, CallReply aReply);
   bool IsGateClosed() const;
+  /// Logs when the upstream begins, changes or ends its limit, and once a second how many calls it
+  /// is sent while it names one.
+  void LogLimit(const UpstreamNotices& aNotices);
   void LogOutcome(const PendingCall& aPending, const UpstreamResult& aResult) const;
   /// Completes a drain when no call is running.
   void CheckDrained();
@@ -84,6 +87,11 @@
   /// Smoothed size of answers in bytes, by cost class.
   std::map<CostClass, double> smoothedAnswerBytes_;
   std::map<RemoteCallKey, Ticket> remoteTickets_;
+  /// The limit that the upstream named last.
+  std::optional<double> namedLimit_;
+  /// Calls sent to the upstream since the last line about its limit.
+  int64_t sentSinceLimitLog_ = 0;
+  TimePoint limitLoggedAt_;
   bool isDraining_ = false;
   std::function<void()> onDrained_;
   Timer expiryTimer_;
--- a/src/platform/ProtocolNames.cpp
+++ b/src/platform/ProtocolNames.cpp
@@ -14,6 +14,7 @@
   headerNames.refusalValue = "";
   headerNames.answerSignature = "Dandelionvale-Server-Signature";
   headerNames.upstreamId = "Dandelionvale-Instance-Id";
+  headerNames.rateLimit = "Server-Limit";
   headerNames.propagatesLimits = false;
   headerNames.ignoresInvalidLimits = true;
   return headerNames;
--- a/src/wire/CallHeaders.h
+++ b/src/wire/CallHeaders.h
@@ -48,6 +48,9 @@
   std::string answerSignature = {};
   /// Response header: the incarnation that answers.
   std::string upstreamId = {};
+  /// Response header: calls a second that the upstream takes from all nodes together, a decimal
+  /// number.
+  std::string rateLimit = {};
   /// Whether the traffic class and the retries left are read from requests and sent to upstreams.
   bool propagatesLimits = true;
   /// Whether an invalid deadline is ignored. Otherwise the request is refused.
--- a/src/wire/Upstream.h
+++ b/src/wire/Upstream.h
@@ -2,6 +2,7 @@
 #ifndef DANDELION_WIRE_UPSTREAM_H
 #define DANDELION_WIRE_UPSTREAM_H
 
+#include "admission/Admission.h"
 #include "wire/Messages.h"
 
 #include <functional>
@@ -21,6 +22,8 @@
   bool hasReachedUpstream = true;
   /// Why a received answer is not forwarded; empty where it is.
   std::string rejectReason = {};
+  /// What the upstream said of itself; nothing if no answer of it was received.
+  std::optional<UpstreamNotices> notices = {};
 };
 
 class Upstream
--- a/src/wire/UpstreamAnswer.cpp
+++ b/src/wire/UpstreamAnswer.cpp
@@ -1,7 +1,10 @@
 #include "wire/UpstreamAnswer.h"
 
+#include "absl/strings/numbers.h"
+
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace dandelion {
 
@@ -36,6 +39,27 @@
   return value == aHeaderNames.refusalValue;
 }
 
+/// A limit that is no decimal number of 0 or more is taken as none.
+std::optional<double> ReadRateLimit(const HttpHeaders& aHeaders, const std::string& aName)
+{
+  if (aName.empty()) {
+    return std::nullopt;
+  }
+  double limit = 0;
+  bool isNumber = absl::SimpleAtod(FindHeader(aHeaders, aName), &limit);
+  return isNumber && std::isfinite(limit) && limit >= 0 ? std::optional(limit) : std::nullopt;
+}
+
+/// What the addressed upstream says of itself. Another one answers that it was not addressed.
+std::optional<UpstreamNotices> ReadNotices(const HttpResponse& aResponse,
+                                           const CallHeaderNames& aHeaderNames)
+{
+  if (aResponse.status == kMisdirectedRequest && !aHeaderNames.targetUpstream.empty()) {
+    return std::nullopt;
+  }
+  return UpstreamNotices{ ReadRateLimit(aResponse.headers, aHeaderNames.rateLimit) };
+}
+
 /// Returns why an answer to an executed call must not be forwarded; empty where it may be
 /// forwarded.
 std::string FindRejectReason(const HttpResponse& aResponse, const CallHeaderNames& aHeaderNames)
@@ -89,6 +113,9 @@
   result.isRetried = !FindHeader(response.headers, kRetriedHeader).empty();
   bool identifiesCall = aHeaderNames.requestId.empty() || aCall.requestId.empty() ||
                         !FindHeader(response.headers, aHeaderNames.requestId).empty();
+  if (identifiesCall || aResult.isFirstOnConnection) {
+    result.notices = ReadNotices(response, aHeaderNames);
+  }
   // On a kept connection, an answer without the call's id may be a copy of an earlier one.
   if (!identifiesCall && !aResult.isFirstOnConnection) {
     result.rejectReason = "answer without the request ID header";
