Start calls to a limited upstream at the rate that it names

What callers saw: nothing yet.

Cause: the admission queue of the upstream's node gave out all slots; nothing read the limit. An upstream that takes 28.1 calls a second was sent 83 in the first second after it said so, and the rule breaks as soon as it counts, long before the restart. All calls of all nodes pass the queue of that one node, so no share of a node is involved.

Fix: the queue starts calls at the named rate, with a burst of a quarter of a second, until an answer to a call that was sent since names none. All that reaches the upstream counts: first sends, retries, hedges and nested calls pass this queue. The queue estimate counts the limit, so that callers' nodes ask elsewhere, and what cannot be answered in time is refused at once. Until the first answer only two calls start; their number doubles each second.

Evidence: upstream_limits/* failed before (about 1,000 calls in a second where 40 are taken, 18 calls before the first answer) and pass. paced_calls/* checks windows of 4 s with random loads and a restart: passed with 1,000 cases.

--- a/src/admission/AdmissionEvents.h
+++ b/src/admission/AdmissionEvents.h
@@ -5,6 +5,7 @@
 #include "release/Release.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -49,7 +50,15 @@
 {
   CallKey call;
 };
-using AdmissionEvent = std::variant<CallArrived, CallFinished, CallCancelled>;
+/// The upstream has answered a call.
+struct UpstreamAnswered
+{
+  /// Calls a second that it says it takes; nothing if it names no limit.
+  std::optional<double> maxCallsPerSecond;
+  /// When the call was sent.
+  TimePoint sentAt;
+};
+using AdmissionEvent = std::variant<CallArrived, CallFinished, CallCancelled, UpstreamAnswered>;
 
 /// Send the call to the upstream.
 struct RunCall
@@ -71,8 +80,10 @@
 {
   /// Waiting and running calls.
   int64_t queueLength = 0;
+  /// Slots that may be in use, counting those that the upstream's limit leaves.
   int64_t slots = 0;
-  /// Slots left after one slot is counted for each running or waiting call.
+  /// Slots left after one slot is counted for each running or waiting call, and that calls may
+  /// start in now.
   int64_t freeSlots = 0;
   /// Expected time until a slot is free for the call.
   Duration queueDelay = Duration::zero();
--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -40,6 +40,21 @@
   return std::visit([&](auto& aQueue) { return aQueue.SetSlots(aSlots, aNow); }, queue_);
 }
 
+void AdmissionQueue::AwaitFirstAnswer()
+{
+  std::visit([](auto& aQueue) { aQueue.AwaitFirstAnswer(); }, queue_);
+}
+
+AdmissionEffects AdmissionQueue::StartDue(TimePoint aNow)
+{
+  return std::visit([&](auto& aQueue) { return aQueue.StartDue(aNow); }, queue_);
+}
+
+std::optional<TimePoint> AdmissionQueue::NextPacedStart(TimePoint aNow) const
+{
+  return std::visit([&](const auto& aQueue) { return aQueue.NextPacedStart(aNow); }, queue_);
+}
+
 int64_t AdmissionQueue::Running() const
 {
   return std::visit([](const auto& aQueue) { return aQueue.Running(); }, queue_);
@@ -56,7 +71,7 @@
 {
   return std::visit(
     Overloaded{
-      [&](const SlotQueue& aQueue) { return aQueue.EstimateFor(aClass); },
+      [&](const SlotQueue& aQueue) { return aQueue.EstimateFor(aClass, aNow); },
       [&](const TargetQueue& aQueue) { return aQueue.EstimateFor(aCostClass, aNow); },
     },
     queue_);
--- a/src/admission/SlotQueue.cpp
+++ b/src/admission/SlotQueue.cpp
@@ -58,6 +58,10 @@
                },
                [&](const CallFinished& aCall) { OnFinished(effects, aCall, aNow); },
                [&](const CallCancelled& aCall) { OnCancelled(effects, aCall, aNow); },
+               [&](const UpstreamAnswered& aAnswer) {
+                 pacer_.OnAnswered(aAnswer, aNow);
+                 FillSlots(effects, aNow);
+               },
              },
              aEvent);
   return effects;
@@ -103,15 +107,32 @@
   return effects;
 }
 
-QueueEstimate SlotQueue::EstimateFor(TrafficClass aClass) const
+AdmissionEffects SlotQueue::StartDue(TimePoint aNow)
+{
+  AdmissionEffects effects;
+  FillSlots(effects, aNow);
+  return effects;
+}
+
+std::optional<TimePoint> SlotQueue::NextPacedStart(TimePoint aNow) const
+{
+  if (waiting_ == 0 || Running() >= slots_) {
+    return std::nullopt;
+  }
+  // In a full lane, calls wait for a slot although others are free.
+  TimePoint next = pacer_.NextStart(aNow);
+  return next > aNow ? std::optional(next) : std::nullopt;
+}
+
+QueueEstimate SlotQueue::EstimateFor(TrafficClass aClass, TimePoint aNow) const
 {
   QueueEstimate estimate;
   estimate.queueLength = Waiting() + Running();
-  estimate.slots = slots_;
-  estimate.freeSlots = std::max<int64_t>(0, slots_ - estimate.queueLength);
-  bool waits = estimate.freeSlots == 0;
-  estimate.queueDelay = waits ? ExpectedQueueDelay(LaneClass(aClass)) : Duration::zero();
   estimate.serviceTime = LaneOf(LaneClass(aClass)).serviceTime;
+  estimate.slots = pacer_.UsableSlots(slots_, estimate.serviceTime);
+  estimate.freeSlots = pacer_.FreeStarts(std::max<int64_t>(0, slots_ - estimate.queueLength), aNow);
+  bool waits = estimate.freeSlots == 0;
+  estimate.queueDelay = waits ? ExpectedQueueDelay(LaneClass(aClass), aNow) : Duration::zero();
   return estimate;
 }
 
@@ -122,7 +143,7 @@
     aEffects.push_back(RefuseCall{ aCall.call, ErrorKind::Leaving });
     return;
   }
-  if (lane.queue.empty() && MayRun(aCall.trafficClass)) {
+  if (lane.queue.empty() && MayRun(aCall.trafficClass, aNow)) {
     Run(aEffects, aCall.call, aCall.trafficClass, aNow);
     return;
   }
@@ -173,7 +194,7 @@
     std::optional<TrafficClass> next;
     for (const auto& row : EnumNames<TrafficClass>::kTable) {
       const Lane& lane = LaneOf(row.value);
-      bool isCandidate = !lane.queue.empty() && MayRun(row.value);
+      bool isCandidate = !lane.queue.empty() && MayRun(row.value, aNow);
       if (isCandidate && (!next.has_value() || lane.pass < LaneOf(*next).pass)) {
         next = row.value;
       }
@@ -199,13 +220,14 @@
 void SlotQueue::Run(AdmissionEffects& aEffects, CallKey aCall, TrafficClass aClass, TimePoint aNow)
 {
   ++LaneOf(aClass).running;
+  pacer_.OnStarted(aNow);
   running_[aCall] = RunningCall{ aClass, aNow };
   aEffects.push_back(RunCall{ aCall });
 }
 
-bool SlotQueue::MayRun(TrafficClass aClass) const
+bool SlotQueue::MayRun(TrafficClass aClass, TimePoint aNow) const
 {
-  if (Running() >= slots_) {
+  if (Running() >= slots_ || !pacer_.MayStart(aNow)) {
     return false;
   }
   if (!IsLongRunningClass(aClass)) {
@@ -256,7 +278,7 @@
                       [&](const ClassLanes&) {
                         // The service time counts too: the answer must arrive by the deadline.
                         Duration serviceTime = LaneOf(aCall.trafficClass).serviceTime;
-                        return aNow + ExpectedQueueDelay(aCall.trafficClass) + serviceTime +
+                        return aNow + ExpectedQueueDelay(aCall.trafficClass, aNow) + serviceTime +
                                  kReplyDelay >=
                                aCall.deadline;
                       },
@@ -282,12 +304,12 @@
   aLane.lastStart = aNow;
 }
 
-Duration SlotQueue::ExpectedQueueDelay(TrafficClass aClass) const
+Duration SlotQueue::ExpectedQueueDelay(TrafficClass aClass, TimePoint aNow) const
 {
   // The recent interval between starts of this lane accounts for the slots it shares with others.
   const Lane& lane = LaneOf(aClass);
   int64_t ahead = static_cast<int64_t>(lane.queue.size()) + 1;
-  return lane.startInterval * ahead;
+  return std::max(lane.startInterval * ahead, pacer_.DelayBehind(waiting_, aNow));
 }
 
 } // namespace dandelion
--- a/src/admission/SlotQueue.h
+++ b/src/admission/SlotQueue.h
@@ -4,6 +4,7 @@
 #define DANDELION_ADMISSION_SLOT_QUEUE_H
 
 #include "admission/AdmissionEvents.h"
+#include "admission/CallPacer.h"
 
 #include <array>
 #include <cstdint>
@@ -62,9 +63,15 @@
 
   /// Starts waiting calls in the slots that are added.
   AdmissionEffects SetSlots(int64_t aSlots, TimePoint aNow);
+  /// Starts only a few calls until an upstream that may name a limit has answered one.
+  void AwaitFirstAnswer() { pacer_.AwaitFirstAnswer(); }
+  /// Starts waiting calls that were held back by the upstream's limit.
+  AdmissionEffects StartDue(TimePoint aNow);
+  /// When `StartDue` may start a call; nothing if no call waits for the limit alone.
+  std::optional<TimePoint> NextPacedStart(TimePoint aNow) const;
   int64_t Slots() const { return slots_; }
   /// Expected delays of a call of this class that arrives now.
-  QueueEstimate EstimateFor(TrafficClass aClass) const;
+  QueueEstimate EstimateFor(TrafficClass aClass, TimePoint aNow) const;
   int64_t Running() const { return static_cast<int64_t>(running_.size()); }
   int64_t Waiting() const { return waiting_; }
 
@@ -98,9 +105,9 @@
   void OnCancelled(AdmissionEffects& aEffects, const CallCancelled& aCall, TimePoint aNow);
   void FillSlots(AdmissionEffects& aEffects, TimePoint aNow);
   void Run(AdmissionEffects& aEffects, CallKey aCall, TrafficClass aClass, TimePoint aNow);
-  bool MayRun(TrafficClass aClass) const;
+  bool MayRun(TrafficClass aClass, TimePoint aNow) const;
   int64_t MaxRunning(TrafficClass aClass) const;
-  Duration ExpectedQueueDelay(TrafficClass aClass) const;
+  Duration ExpectedQueueDelay(TrafficClass aClass, TimePoint aNow) const;
   /// Whether the call would end after its deadline if it was queued now.
   bool CannotMeetDeadline(const CallArrived& aCall, TimePoint aNow) const;
   /// Whether the call would end after its deadline if it started now.
@@ -114,6 +121,7 @@
   int64_t slots_;
   QueueOrder order_;
   bool isClosed_ = false;
+  CallPacer pacer_;
   std::array<Lane, kClassCount> lanes_;
   std::map<CallKey, RunningCall> running_;
   int64_t waiting_ = 0;
--- a/src/admission/TargetQueue.cpp
+++ b/src/admission/TargetQueue.cpp
@@ -47,6 +47,7 @@
                  waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), isCall),
                                 waiting_.end());
                },
+               [&](const UpstreamAnswered& aAnswer) { pacer_.OnAnswered(aAnswer, aNow); },
              },
              aEvent);
   FillSlots(effects, aNow);
@@ -59,7 +60,7 @@
     aEffects.push_back(RefuseCall{ aCall.call, ErrorKind::Leaving });
     return;
   }
-  if (waiting_.empty() && Running() < slots_) {
+  if (waiting_.empty() && MayStart(aNow)) {
     Run(aEffects, aCall, aNow);
     return;
   }
@@ -126,7 +127,7 @@
 
 void TargetQueue::FillSlots(AdmissionEffects& aEffects, TimePoint aNow)
 {
-  while (!waiting_.empty() && Running() < slots_) {
+  while (!waiting_.empty() && MayStart(aNow)) {
     // Cheap calls go first, then calls that can meet their target, by latest start. Of the others
     // the one with the nearest deadline goes first.
     auto isLate = [&](const CallArrived& aCall) {
@@ -176,6 +177,7 @@
   Duration expected = ExpectedServiceTime(aCall.costClass, aNow);
   SlotSharer sharer = SharerOf(aCall);
   accounts_.OnStarted(sharer, expected);
+  pacer_.OnStarted(aNow);
   running_[aCall.call] = RunningCall{ aCall.costClass, aNow, std::move(sharer), expected };
   aEffects.push_back(RunCall{ aCall.call });
 }
@@ -214,13 +216,28 @@
   return effects;
 }
 
+AdmissionEffects TargetQueue::StartDue(TimePoint aNow)
+{
+  AdmissionEffects effects;
+  FillSlots(effects, aNow);
+  return effects;
+}
+
+std::optional<TimePoint> TargetQueue::NextPacedStart(TimePoint aNow) const
+{
+  if (waiting_.empty() || Running() >= slots_) {
+    return std::nullopt;
+  }
+  return pacer_.NextStart(aNow);
+}
+
 QueueEstimate TargetQueue::EstimateFor(const CostClass& aCostClass, TimePoint aNow) const
 {
   QueueEstimate estimate;
   estimate.queueLength = Running() + Waiting();
-  estimate.slots = slots_;
-  estimate.freeSlots = std::max<int64_t>(0, slots_ - estimate.queueLength);
   estimate.serviceTime = ExpectedServiceTime(aCostClass, aNow);
+  estimate.slots = pacer_.UsableSlots(slots_, estimate.serviceTime);
+  estimate.freeSlots = pacer_.FreeStarts(std::max<int64_t>(0, slots_ - estimate.queueLength), aNow);
   if (estimate.freeSlots == 0) {
     bool isCheap = IsCheap(aCostClass, aNow);
     estimate.queueDelay = ExpectedQueueDelay(isCheap ? TimePoint::min() : TimePoint::max(), aNow);
@@ -268,16 +285,18 @@
     return kDefaultServiceTime;
   }
   if (Running() < slots_ && waiting_.empty()) {
-    return Duration::zero();
+    return pacer_.DelayBehind(0, aNow);
   }
   // On average the next slot becomes free after half of the mean remaining service time.
   Duration ahead = RemainingServiceTime(aNow) / 2;
+  int64_t callsAhead = 0;
   for (const CallArrived& call : waiting_) {
     if (LatestStart(call, aNow) <= aLatestStart || GoesFirst(call, aNow)) {
       ahead += ExpectedServiceTime(call.costClass, aNow);
+      ++callsAhead;
     }
   }
-  return ahead / slots_;
+  return std::max(ahead / slots_, pacer_.DelayBehind(callsAhead, aNow));
 }
 
 Duration TargetQueue::ExpectedQueueDelayOf(const CallArrived& aCall, TimePoint aNow) const
@@ -296,6 +315,7 @@
     return LatestStart(aOther, aNow) <= latestStart;
   };
   Duration ahead = RemainingServiceTime(aNow) / 2;
+  int64_t callsAhead = 0;
   std::vector<const CallArrived*> peers;
   for (const CallArrived& call : waiting_) {
     bool isCheap = GoesFirst(call, aNow);
@@ -303,9 +323,13 @@
       peers.push_back(&call);
     } else if (isCheap || goesBefore(call)) {
       ahead += cost(call);
+      ++callsAhead;
     }
   }
-  return (ahead + accounts_.TimeAhead(aCall, peers, cost, goesBefore)) / slots_;
+  Duration peersAhead = accounts_.TimeAhead(aCall, peers, cost, goesBefore);
+  // Calls of one priority mostly take as long as this one.
+  callsAhead += peersAhead / std::max(Duration(1), cost(aCall));
+  return std::max((ahead + peersAhead) / slots_, pacer_.DelayBehind(callsAhead, aNow));
 }
 
 bool TargetQueue::IsCheap(const CostClass& aCostClass, TimePoint aNow) const
--- a/src/admission/TargetQueue.h
+++ b/src/admission/TargetQueue.h
@@ -19,6 +19,7 @@
 
 #include "admission/AccountOrder.h"
 #include "admission/AdmissionEvents.h"
+#include "admission/CallPacer.h"
 
 #include <map>
 
@@ -42,6 +43,12 @@
 
   /// Starts waiting calls in the slots that are added.
   AdmissionEffects SetSlots(int64_t aSlots, TimePoint aNow);
+  /// Starts only a few calls until an upstream that may name a limit has answered one.
+  void AwaitFirstAnswer() { pacer_.AwaitFirstAnswer(); }
+  /// Starts waiting calls that were held back by the upstream's limit.
+  AdmissionEffects StartDue(TimePoint aNow);
+  /// When `StartDue` may start a call; nothing if no call waits for the limit alone.
+  std::optional<TimePoint> NextPacedStart(TimePoint aNow) const;
   int64_t Slots() const { return slots_; }
   int64_t Running() const { return static_cast<int64_t>(running_.size()); }
   int64_t Waiting() const { return static_cast<int64_t>(waiting_.size()); }
@@ -64,6 +71,7 @@
     Duration expected;
   };
 
+  bool MayStart(TimePoint aNow) const { return Running() < slots_ && pacer_.MayStart(aNow); }
   bool CanMeetTarget(const CallArrived& aCall, TimePoint aNow) const;
   /// Refuses waiting calls of other zones, if that lets the call meet its target. Returns whether
   /// it does.
@@ -97,6 +105,7 @@
 
   int64_t slots_;
   bool isClosed_ = false;
+  CallPacer pacer_;
   std::vector<CallArrived> waiting_;
   AccountOrder accounts_;
   std::map<CallKey, RunningCall> running_;
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -58,6 +58,9 @@
   releases_->AddListener([this] { RefuseWithdrawn(); });
   upstreamState_ = &registry.Find<UpstreamState>(ServiceName::UpstreamState);
   upstreamState_->AddListener([this] { ApplyUpstreamState(); });
+  if (!context_.headerNames.rateLimit.empty()) {
+    queue_.AwaitFirstAnswer();
+  }
   ApplyUpstreamState();
   limitLoggedAt_ = context_.loop.Now();
   CheckExpired();
@@ -67,6 +70,7 @@
 void AdmissionService::Stop()
 {
   expiryTimer_.Cancel();
+  startTimer_.Cancel();
 }
 
 Admission::Ticket AdmissionService::Serve(const OpenCall& aCall, OnReply aReply)
@@ -138,6 +142,19 @@
                },
                effect);
   }
+  ScheduleNextStart();
+}
+
+void AdmissionService::ScheduleNextStart()
+{
+  TimePoint now = context_.loop.Now();
+  std::optional<TimePoint> next = queue_.NextPacedStart(now);
+  if (!next.has_value()) {
+    startTimer_.Cancel();
+    return;
+  }
+  startTimer_ = context_.loop.After(std::max(Duration::zero(), *next - now),
+                                    [this] { Execute(queue_.StartDue(context_.loop.Now())); });
 }
 
 void AdmissionService::SendToUpstream(Ticket aTicket)
@@ -187,8 +204,12 @@
     metrics_->Observe(
       HistogramName::UpstreamTime, label, context_.loop.Now() - pending->second.startedAt);
   }
+  AdmissionEffects effects;
   if (aResult.notices.has_value()) {
     LogLimit(*aResult.notices);
+    TimePoint sentAt = pending == pending_.end() ? TimePoint() : pending->second.startedAt;
+    effects = queue_.Handle(UpstreamAnswered{ aResult.notices->maxCallsPerSecond, sentAt },
+                            context_.loop.Now());
   }
   CallReply reply;
   reply.outcome = aResult.outcome;
@@ -220,8 +241,8 @@
   // Frees the slot first, so that the queue estimate in the reply counts it as free.
   bool hasFailed = aResult.outcome == CallOutcome::NotRun ||
                    (aResult.outcome == CallOutcome::Ran && aResult.status >= kFirstServerError);
-  AdmissionEffects effects =
-    queue_.Handle(CallFinished{ aTicket, !hasFailed }, context_.loop.Now());
+  AdmissionEffects freed = queue_.Handle(CallFinished{ aTicket, !hasFailed }, context_.loop.Now());
+  effects.insert(effects.end(), freed.begin(), freed.end());
   Reply(aTicket, std::move(reply));
   Execute(effects);
   CheckDrained();
--- a/src/dandeliond/AdmissionService.h
+++ b/src/dandeliond/AdmissionService.h
@@ -48,6 +48,8 @@
   using RemoteCallKey = std::pair<LinkId, uint64_t>;
 
   void Execute(const AdmissionEffects& aEffects);
+  /// Wakes up when the upstream's limit lets a waiting call start.
+  void ScheduleNextStart();
   void SendToUpstream(Ticket aTicket);
   void OnUpstreamResult(Ticket aTicket, const UpstreamResult& aResult);
   void Refuse(Ticket aTicket, ErrorKind aReason);
@@ -95,6 +97,7 @@
   bool isDraining_ = false;
   std::function<void()> onDrained_;
   Timer expiryTimer_;
+  Timer startTimer_;
 };
 
 } // namespace dandelion
