Send nothing more to an upstream whose answer says that it leaves

What callers saw: nothing yet. If the report of a leaving upstream was late or lost, its answers told callers that it leaves, and its node went on sending it calls, at any time later (DRAIN).

Cause: only reports and the health check said that an upstream leaves; nothing read the answers.

Fix: an answer of the addressed upstream that says so closes the upstream as its report would, before the caller gets the answer: waiting and unsent calls are refused as not run, and other nodes learn that it has no slots. It stays closed whatever this incarnation reports. Where no report came yet, only a passed health check opens it again, and a check that is answered with the field is not passed. Answers of another upstream at the address (421) say nothing.

--- a/src/admission/UpstreamNotices.h
+++ b/src/admission/UpstreamNotices.h
@@ -10,6 +10,8 @@
 {
   /// Calls a second that it takes from all nodes together; nothing if it names no limit.
   std::optional<double> maxCallsPerSecond;
+  /// Whether it is leaving, and must not be sent further calls.
+  bool isLeaving = false;
 };
 
 } // namespace dandelion
--- a/src/admission/UpstreamTracker.cpp
+++ b/src/admission/UpstreamTracker.cpp
@@ -98,6 +98,20 @@
   isConfirmed_ = condition_ == UpstreamCondition::Ready;
 }
 
+bool UpstreamTracker::HandleLeaving(const std::string& aId)
+{
+  if (aId != id_ || condition_ != UpstreamCondition::Ready) {
+    return false;
+  }
+  if (sequence_ < 0) {
+    // Without a report, a later one cannot be told from an earlier one. The health check can.
+    *this = UpstreamTracker(service_);
+  } else {
+    condition_ = UpstreamCondition::Draining;
+  }
+  return true;
+}
+
 bool UpstreamTracker::AcceptsWork() const
 {
   return condition_ == UpstreamCondition::Ready && isConfirmed_;
--- a/src/admission/UpstreamTracker.h
+++ b/src/admission/UpstreamTracker.h
@@ -107,6 +107,8 @@
   ReportVerdict HandleReport(const UpstreamReport& aReport, TimePoint aNow);
   /// Handles the result of a health check that was made by this process.
   void HandleHealthCheck(const HealthCheckResult& aResult);
+  /// Handles an answer of an upstream that says that it is leaving. Returns whether that is new.
+  bool HandleLeaving(const std::string& aId);
   /// Records that the service has no health check. Reports are believed then.
   void HandleNoHealthCheck() { isConfirmed_ = true; }
 
--- a/src/dandeliond/AdmissionService.cpp
+++ b/src/dandeliond/AdmissionService.cpp
@@ -197,6 +197,13 @@
 
 void AdmissionService::OnUpstreamResult(Ticket aTicket, const UpstreamResult& aResult)
 {
+  if (aResult.notices.has_value() && aResult.notices->isLeaving) {
+    // Refuses waiting calls, which may end others, so it comes before this call is looked up. It
+    // also comes before the caller gets the answer.
+    auto answered = pending_.find(aTicket);
+    std::string upstreamId = answered == pending_.end() ? "" : answered->second.call.upstreamId;
+    upstreamState_->OnLeavingNoticed(upstreamId);
+  }
   auto pending = pending_.find(aTicket);
   if (pending != pending_.end()) {
     MetricLabel label = ClassLabel(pending->second.call.trafficClass);
--- a/src/dandeliond/CallServices.h
+++ b/src/dandeliond/CallServices.h
@@ -42,6 +42,8 @@
   /// Software version that it reports; nothing before its first report.
   virtual std::optional<std::string> Version() const { return std::nullopt; }
   virtual bool IsWarmingUp() const { return false; }
+  /// An answer of this incarnation says that it is leaving.
+  virtual void OnLeavingNoticed(const std::string& /* aId */) {}
   /// The gate in front of the upstream; null where there is none.
   virtual UpstreamGate* Gate() const { return nullptr; }
   virtual void SetGate(UpstreamGate* /* aGate */) {}
--- a/src/dandeliond/UpstreamStateServices.cpp
+++ b/src/dandeliond/UpstreamStateServices.cpp
@@ -90,6 +90,19 @@
   QueryHealth();
 }
 
+void ReportedUpstreamService::OnLeavingNoticed(const std::string& aId)
+{
+  if (!tracker_.HandleLeaving(aId)) {
+    return;
+  }
+  Log(LogPart::Upstream,
+      LogLevel::Info,
+      "An answer of {} says that it is leaving; {} slots are open.",
+      aId,
+      tracker_.Slots());
+  NotifyListeners();
+}
+
 void ReportedUpstreamService::NotifyListeners()
 {
   for (const auto& listener : listeners_) {
@@ -138,7 +151,8 @@
     return health;
   }
   health.id = FindHeader(response.headers, context_.headerNames.upstreamId);
-  if (response.status != kHealthyStatus) {
+  bool isLeaving = ReadNotices(response.headers, context_.headerNames).isLeaving;
+  if (response.status != kHealthyStatus || isLeaving) {
     health.status = HealthStatus::Unhealthy;
   } else if (!health.id.empty()) {
     health.status = HealthStatus::Healthy;
--- a/src/dandeliond/UpstreamStateServices.h
+++ b/src/dandeliond/UpstreamStateServices.h
@@ -69,6 +69,7 @@
   const std::string& Id() const override { return tracker_.Id(); }
   std::optional<std::string> Version() const override { return tracker_.SoftwareVersion(); }
   bool IsWarmingUp() const override { return tracker_.IsWarmingUp(context_.loop.Now()); }
+  void OnLeavingNoticed(const std::string& aId) override;
   UpstreamGate* Gate() const override { return gate_; }
   void SetGate(UpstreamGate* aGate) override { gate_ = aGate; }
   void OnGateChanged() override { NotifyListeners(); }
--- a/src/platform/ProtocolNames.cpp
+++ b/src/platform/ProtocolNames.cpp
@@ -15,6 +15,7 @@
   headerNames.answerSignature = "Dandelionvale-Server-Signature";
   headerNames.upstreamId = "Dandelionvale-Instance-Id";
   headerNames.rateLimit = "Server-Limit";
+  headerNames.leaving = "Server-Leaving";
   headerNames.propagatesLimits = false;
   headerNames.ignoresInvalidLimits = true;
   return headerNames;
--- a/src/wire/CallHeaders.h
+++ b/src/wire/CallHeaders.h
@@ -51,6 +51,8 @@
   /// Response header: calls a second that the upstream takes from all nodes together, a decimal
   /// number.
   std::string rateLimit = {};
+  /// Response header: whether the upstream is leaving; any value but 0 says so.
+  std::string leaving = {};
   /// Whether the traffic class and the retries left are read from requests and sent to upstreams.
   bool propagatesLimits = true;
   /// Whether an invalid deadline is ignored. Otherwise the request is refused.
--- a/src/wire/UpstreamAnswer.cpp
+++ b/src/wire/UpstreamAnswer.cpp
@@ -27,14 +27,17 @@
          kNotRunStatuses.end();
 }
 
+/// Whether another upstream than the addressed one answers. It does not execute the call.
+bool IsMisdirected(const HttpResponse& aResponse, const CallHeaderNames& aHeaderNames)
+{
+  return aResponse.status == kMisdirectedRequest && !aHeaderNames.targetUpstream.empty();
+}
+
 bool IsRefusal(const HttpResponse& aResponse, const CallHeaderNames& aHeaderNames)
 {
   std::string value = FindHeader(aResponse.headers, aHeaderNames.refusal);
   if (aHeaderNames.refusalValue.empty()) {
-    // An upstream that the call is not addressed to does not execute it either.
-    bool isMisdirected =
-      aResponse.status == kMisdirectedRequest && !aHeaderNames.targetUpstream.empty();
-    return !value.empty() || isMisdirected;
+    return !value.empty() || IsMisdirected(aResponse, aHeaderNames);
   }
   return value == aHeaderNames.refusalValue;
 }
@@ -50,14 +53,10 @@
   return isNumber && std::isfinite(limit) && limit >= 0 ? std::optional(limit) : std::nullopt;
 }
 
-/// What the addressed upstream says of itself. Another one answers that it was not addressed.
-std::optional<UpstreamNotices> ReadNotices(const HttpResponse& aResponse,
-                                           const CallHeaderNames& aHeaderNames)
+bool ReadLeaving(const HttpHeaders& aHeaders, const std::string& aName)
 {
-  if (aResponse.status == kMisdirectedRequest && !aHeaderNames.targetUpstream.empty()) {
-    return std::nullopt;
-  }
-  return UpstreamNotices{ ReadRateLimit(aResponse.headers, aHeaderNames.rateLimit) };
+  std::string value = aName.empty() ? "" : FindHeader(aHeaders, aName);
+  return !value.empty() && value != "0";
 }
 
 /// Returns why an answer to an executed call must not be forwarded; empty where it may be
@@ -84,6 +83,12 @@
 
 } // namespace
 
+UpstreamNotices ReadNotices(const HttpHeaders& aHeaders, const CallHeaderNames& aHeaderNames)
+{
+  return UpstreamNotices{ ReadRateLimit(aHeaders, aHeaderNames.rateLimit),
+                          ReadLeaving(aHeaders, aHeaderNames.leaving) };
+}
+
 bool IsAnswerTo(const OpenCall& aCall,
                 const HttpHeaders& aHeaders,
                 const CallHeaderNames& aHeaderNames)
@@ -113,8 +118,8 @@
   result.isRetried = !FindHeader(response.headers, kRetriedHeader).empty();
   bool identifiesCall = aHeaderNames.requestId.empty() || aCall.requestId.empty() ||
                         !FindHeader(response.headers, aHeaderNames.requestId).empty();
-  if (identifiesCall || aResult.isFirstOnConnection) {
-    result.notices = ReadNotices(response, aHeaderNames);
+  if ((identifiesCall || aResult.isFirstOnConnection) && !IsMisdirected(response, aHeaderNames)) {
+    result.notices = ReadNotices(response.headers, aHeaderNames);
   }
   // On a kept connection, an answer without the call's id may be a copy of an earlier one.
   if (!identifiesCall && !aResult.isFirstOnConnection) {
--- a/src/wire/UpstreamAnswer.h
+++ b/src/wire/UpstreamAnswer.h
@@ -7,6 +7,9 @@
 
 namespace dandelion {
 
+/// Reads what an upstream says of itself in the headers of an answer.
+UpstreamNotices ReadNotices(const HttpHeaders& aHeaders, const CallHeaderNames& aHeaderNames);
+
 /// Whether an answer belongs to this call. An answer with another request ID is a late answer to an
 /// earlier call on a reused connection.
 bool IsAnswerTo(const OpenCall& aCall,
--- a/test/error/PlatformInputValidation.cpp
+++ b/test/error/PlatformInputValidation.cpp
@@ -231,3 +231,34 @@
   CheckOk(parsed.status());
   cr_assert_eq(parsed->softwareVersion, "7");
 }
+
+Test(upstream_notices, with_odd_values_name_no_limit)
+{
+  const std::string kLimit = "Server-Limit";
+  auto limitOf = [&](const std::string& aValue) {
+    UpstreamResult result = Classify(200, { kId, kSignature, { kLimit, aValue } });
+    cr_assert(result.outcome == CallOutcome::Ran);
+    cr_assert(result.notices.has_value());
+    return result.notices->maxCallsPerSecond;
+  };
+  cr_assert_eq(limitOf("16.6").value_or(-1), 16.6);
+  cr_assert_eq(limitOf("0").value_or(-1), 0);
+  for (const char* odd : { "", "-1", "nan", "inf", "1e999", "many", "1,5", "5 calls" }) {
+    cr_assert_not(limitOf(odd).has_value(), "%s", odd);
+  }
+}
+
+/// The answers of another upstream at the address, and those to another call, say nothing.
+Test(upstream_notices, are_taken_from_the_addressed_upstream_only)
+{
+  const std::pair<std::string, std::string> kLeaving{ "Server-Leaving", "1" };
+  cr_assert(Classify(200, { kId, kSignature, kLeaving }).notices->isLeaving);
+  cr_assert(Classify(500, { kId, kLeaving }).notices->isLeaving);
+  cr_assert(
+    Classify(503, { kId, { "Dandelionvale-Not-Executed", "1" }, kLeaving }).notices->isLeaving);
+  cr_assert_not(Classify(421, { kId, kLeaving }).notices.has_value());
+  HttpResult other{ HttpOutcome::Answered, HttpResponse{ 200, { kSignature, kLeaving }, "body" } };
+  other.isFirstOnConnection = false;
+  UpstreamResult result = ClassifyAnswer(MakeCall(), other, platform::MakeCallHeaderNames());
+  cr_assert_not(result.notices.has_value());
+}
