End a call at once whose answer has a status outside the protocol

What callers saw: an answer with the status 000 was not passed on, but a call that got one hung until its deadline, up to 10 s, as long as the upstream kept the connection open. Statuses from 600 to 999 were passed on as answers.

Cause: each status below 200 counted as interim, and its response was skipped; the parser takes any three digits.

Fix: a status outside 100 to 599, and 101, which is never asked for, is a malformed head like the others: the outcome is unknown at once, a call that may run twice is retried, and the connection is not used again. This holds for all HTTP peers, the store too.

Evidence: statuses_outside_the_protocol/end_the_call_at_once failed before (status 000: no result within 20 s) and passes, with 000, 001, 099, 101, 600 and 999.

--- a/src/wire/HttpHeadCheck.cpp
+++ b/src/wire/HttpHeadCheck.cpp
@@ -102,6 +102,15 @@
   return IsTokenByte(aByte) ? HeadFault::None : HeadFault::HeaderName;
 }
 
+HeadFault CheckStatus(int aStatus)
+{
+  constexpr int kMinStatus = 100;
+  constexpr int kMaxStatus = 599;
+  constexpr int kSwitchingProtocols = 101;
+  bool isValid = aStatus >= kMinStatus && aStatus <= kMaxStatus && aStatus != kSwitchingProtocols;
+  return isValid ? HeadFault::None : HeadFault::Status;
+}
+
 HeadFault CheckFraming(int aMajorVersion, const HttpHeaders& aHeaders)
 {
   if (aMajorVersion != 1) {
--- a/src/wire/HttpHeadCheck.h
+++ b/src/wire/HttpHeadCheck.h
@@ -21,6 +21,7 @@
   HeaderValue,
   FoldedLine,
   Version,
+  Status,
   ContentLength,
   TransferEncoding,
 };
@@ -35,6 +36,7 @@
     { HeadFault::HeaderValue, "a control character in a header value" },
     { HeadFault::FoldedLine, "a folded header line" },
     { HeadFault::Version, "a version other than HTTP/1" },
+    { HeadFault::Status, "a status that is not in the protocol" },
     { HeadFault::ContentLength, "an invalid Content-Length" },
     { HeadFault::TransferEncoding, "a Transfer-Encoding other than chunked" },
   };
@@ -72,6 +74,9 @@
 /// Whether the name of a header or of a trailer field is valid.
 bool IsToken(std::string_view aName);
 
+/// Checks the status of a response. A switch to another protocol (101) is never asked for.
+HeadFault CheckStatus(int aStatus);
+
 /// Checks the version and the headers that frame the body. The parser has checked that there are
 /// not several of them, except for repeated codings.
 HeadFault CheckFraming(int aMajorVersion, const HttpHeaders& aHeaders);
--- a/src/wire/HttpMessageParser.cpp
+++ b/src/wire/HttpMessageParser.cpp
@@ -171,6 +171,9 @@
   }
   hasHeaders_ = true;
   HeadFault fault = CheckFraming(parser_.http_major, headers_);
+  if (side_ == HttpSide::Response && fault == HeadFault::None) {
+    fault = CheckStatus(Status());
+  }
   if (fault != HeadFault::None) {
     RejectHead(fault);
     return -1;
--- a/test/correctness/UpstreamsSayThatTheyLeave.cpp
+++ b/test/correctness/UpstreamsSayThatTheyLeave.cpp
@@ -38,7 +38,7 @@
     state =
       &AddService<ReportedUpstreamService>(registry, ServiceName::UpstreamState, context, protocol);
     admission = &AddService<AdmissionService>(registry, ServiceName::Admission, context);
-    cr_assert(upstream.Listen(LoopbackOf(1), HttpLimits()).ok());
+    cr_assert(upstream_.Listen(LoopbackOf(1), HttpLimits()).ok());
     ALLOW_CALL(links, AddHandler(_));
     cr_assert(registry.StartAll().ok());
     Configuration configuration = MakeFirstConfiguration();
@@ -52,7 +52,7 @@
   {
     report = UpstreamReport{ "u", "s0", UpstreamCondition::Ready, aSequence, aStartTimeMs, kSlots };
     bool isAcknowledged = false;
-    client.Send(LoopbackOf(2), HttpRequest(), seconds(10), [&](const HttpResult& /* aResult */) {
+    client_.Send(LoopbackOf(2), HttpRequest(), seconds(10), [&](const HttpResult& /* aResult */) {
       isAcknowledged = true;
     });
     cr_assert(RunUntil(loop, [&] { return isAcknowledged; }));
@@ -108,10 +108,10 @@
     aExchange->Reply(response);
   }
 
-  HttpServer upstream{ loop, [this](const std::shared_ptr<HttpExchange>& aExchange) {
-                        OnRequest(aExchange);
-                      } };
-  HttpClient client{ loop };
+  HttpServer upstream_{ loop, [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                         OnRequest(aExchange);
+                       } };
+  HttpClient client_{ loop };
 };
 
 } // namespace
--- a/test/error/MalformedHeads.cpp
+++ b/test/error/MalformedHeads.cpp
@@ -162,6 +162,30 @@
   }
 }
 
+/// Guards against a status that is none, taken for an interim answer or passed on as an answer: the
+/// caller waited until its deadline behind a connection that stayed open, or got the status.
+Test(statuses_outside_the_protocol, end_the_call_at_once)
+{
+  for (const char* status : { "000", "001", "099", "101", "600", "999" }) {
+    Loop loop;
+    ScriptedUpstream server(loop, LoopbackOf(1), [&](int, int) {
+      return fmt::format("HTTP/1.1 {} Odd\r\n{}Content-Length: 0\r\n\r\n", status, kIdentity);
+    });
+    HttpUpstream upstream(loop, LoopbackOf(1), platform::MakeCallHeaderNames());
+    OpenCall call;
+    call.method = "GET";
+    call.target = "/";
+    call.requestId = "id-1";
+    // Longer than the test waits.
+    call.deadlineMs = 600000;
+    std::optional<UpstreamResult> result;
+    upstream.Send(call, [&](const UpstreamResult& aResult) { result = aResult; });
+    cr_assert(RunUntil(loop, [&] { return result.has_value(); }), "status %s", status);
+    cr_assert(result->outcome == CallOutcome::Unknown, "status %s", status);
+    cr_assert_not(result->rejectReason.empty(), "status %s", status);
+  }
+}
+
 /// The bytes of a head may arrive in any pieces.
 Test(malformed_heads, are_found_wherever_the_bytes_are_split)
 {
