Count only calls that asked an upstream towards the limit of entry

Cause: a call that the entry limiter had refused counted as refused for lack of room, so the share that makes it limit never fell while calls kept coming.

Fix: a call that no upstream was asked to run does not count. Without others the share halves each half second, and upstreams are asked again. The simulation of goodput counts the same way.

--- a/src/dandeliond/CallsService.cpp
+++ b/src/dandeliond/CallsService.cpp
@@ -473,7 +473,8 @@
   bool isShed = aAnswer.outcome == CallOutcome::NotRun && call.route.policy != nullptr &&
                 aAnswer.error != ErrorKind::Unauthenticated;
   bool hasFoundNoRoom = aAnswer.error == ErrorKind::Overloaded;
-  if (call.route.policy != nullptr && (hasFoundNoRoom || call.tried.Sends() > 0)) {
+  // A call that no upstream was asked to run says nothing about their room.
+  if (call.route.policy != nullptr && call.tried.Sends() > 0) {
     limiter_.OnCallEnded(
       call.service, call.route.policy->name, hasFoundNoRoom, context_.loop.Now());
   }
--- a/test/property/GoodputUnderOverload.cpp
+++ b/test/property/GoodputUnderOverload.cpp
@@ -152,7 +152,9 @@
                                              static_cast<size_t>(random_() % kCallers) });
     call->attempts = Attempts(false, 2, call->deadline);
     call->done = [this, call, aRetries](bool aHasRun) {
-      limiters_[call->caller].OnCallEnded(call->kind.service, call->kind.name, !aHasRun, now_);
+      if (call->tried.Sends() > 0) {
+        limiters_[call->caller].OnCallEnded(call->kind.service, call->kind.name, !aHasRun, now_);
+      }
       if (aHasRun) {
         inTime_ += now_ <= call->clientBeganAt + call->kind.target ? 1 : 0;
         return;
