Date a joining node's version by its read of the store

Cause: while a node joined, its version counted as confirmed at each check. The versions that the store and peers had named may be seconds old by the time at which it is ready, and it asked the store again only 1.7 s after that: up to a second too late, plus all that catching up took.

Fix: what the store has answered counts as of when it was asked, with the revision, so that the node watches from there. Only on the first start of the whole system, when no version was ever in force, a joining node counts as up to date.

Evidence: unconfirmed/node_that_was_long_joining_follows_the_store_at_once and unconfirmed/node_that_has_joined_asks_only_for_what_has_changed_since failed before and pass.

--- a/src/dandeliond/FollowingService.cpp
+++ b/src/dandeliond/FollowingService.cpp
@@ -49,8 +49,8 @@
 
 void FollowingService::Tick()
 {
-  if (!membership_->IsReady()) {
-    // Joining includes asking the store or several members for their version.
+  if (!membership_->IsReady() && context_.settings.isFirstStart) {
+    // No version was ever in force, so none is missed.
     freshness_.OnConfirmed(releases_->Current()->version, context_.loop.Now(), 0);
   }
   UpdateFollowing();
@@ -108,6 +108,9 @@
 void FollowingService::OnConfirmedByStore(TimePoint aAsOf, int64_t aRevision)
 {
   if (!membership_->IsReady()) {
+    // A joining node reads the newest version in the store. By the time at which it has joined,
+    // this may be long ago.
+    freshness_.OnConfirmed(releases_->Current()->version, aAsOf, aRevision);
     return;
   }
   std::vector<const Member*> targets = Children();
--- a/test/correctness/UnconfirmedNodeAsksTheStore.cpp
+++ b/test/correctness/UnconfirmedNodeAsksTheStore.cpp
@@ -136,3 +136,26 @@
   node.releases.Set(configuration);
   cr_assert_not(node.datagrams.sent.empty());
 }
+
+/// Guards against a node that takes its version for the newest one as of when it has joined,
+/// although it asked for it long before and newer ones were accepted meanwhile.
+Test(unconfirmed, node_that_was_long_joining_follows_the_store_at_once)
+{
+  RemoteNode node;
+  node.membership.isReady = false;
+  RunFor(node.loop, kMaxUnconfirmedTime + kFreshnessCheckPeriod);
+  node.membership.isReady = true;
+  node.membership.NotifyListeners();
+  cr_assert(node.log.isFollowed);
+}
+
+/// What the store has answered to a joining node counts, as of when it was asked.
+Test(unconfirmed, node_that_has_joined_asks_only_for_what_has_changed_since)
+{
+  RemoteNode node;
+  node.membership.isReady = false;
+  node.log.confirm(node.loop.Now(), 9);
+  node.membership.isReady = true;
+  cr_assert(RunUntil(node.loop, [&] { return node.log.isFollowed; }));
+  cr_assert_eq(node.log.followedAfter, 9);
+}
--- a/test/support/Mocks.h
+++ b/test/support/Mocks.h
@@ -154,17 +154,28 @@
 
   MemberTable table;
   bool isFenced = false;
+  bool isReady = true;
+
+  void NotifyListeners()
+  {
+    for (const auto& listener : listeners_) {
+      listener();
+    }
+  }
 
   const MemberTable& Table() const override { return table; }
   const Member& Self() const override { return *table.Find(selfId_); }
-  bool IsReady() const override { return true; }
+  bool IsReady() const override { return isReady; }
   bool IsFenced(TimePoint /* aNow */) const override { return isFenced; }
   std::vector<const Member*> CountedMembersInZone(TimePoint /* aNow */) const override
   {
     return {};
   }
   void OnVersionReported(const std::string& /* aMember */, Version /* aVersion */) override {}
-  void AddListener(std::function<void()> /* aOnChange */) override {}
+  void AddListener(std::function<void()> aOnChange) override
+  {
+    listeners_.push_back(std::move(aOnChange));
+  }
   void OnVersionSeen(std::function<void(const Endpoint&, Version)> /* aCallback */) override {}
   void AnnounceDeparture(MemberState /* aState */) override {}
   void ContactSeeds(const std::vector<Endpoint>& /* aSeeds */) override {}
@@ -173,6 +184,7 @@
 
 private:
   std::string selfId_;
+  std::vector<std::function<void()>> listeners_;
 };
 
 /// Rollout state of a node that is never behind.
