Order what the store says by its era first

After a return from a copy a node could stay on an older configuration without end.

Cause: a revision was taken for a point in the store's history. A store that returns from a copy gives revisions out again, so a watch went on from one that meant another state, a swap wrote over somebody else's state, and a late answer from before was believed.

Fix: the era is part of each revision (its high bits), so all comparisons, also those between nodes, compare eras first. When an answer names a new era, all watches end and their owners read; swaps on the condition of an earlier era are refused, and late answers are dropped.

--- a/src/platform/KeyValueStore.cpp
+++ b/src/platform/KeyValueStore.cpp
@@ -1,6 +1,9 @@
 #include "platform/KeyValueStore.h"
 
-#include "absl/strings/escaping.h"
+#include "platform/ProtocolNames.h"
+#include "platform/StoreMessages.h"
+
+#include "absl/strings/numbers.h"
 
 #include <algorithm>
 
@@ -16,90 +19,6 @@
 /// has just answered; connecting again costs one round trip.
 constexpr Duration kMaxIdleTime = milliseconds(100);
 
-/// Percent-encodes a key for a query string. Slashes are not encoded.
-std::string PercentEncode(const std::string& aText)
-{
-  std::string escaped;
-  for (char character : aText) {
-    bool isPlain = absl::ascii_isalnum(static_cast<unsigned char>(character)) ||
-                   std::string_view("-_.~/").find(character) != std::string_view::npos;
-    escaped += isPlain ? std::string(1, character)
-                       : fmt::format("%{:02X}", static_cast<unsigned char>(character));
-  }
-  return escaped;
-}
-
-/// Parses an item of the store. Its field `rev` is the revision that last changed it.
-/// Returns nothing if the key or the value is missing or invalid.
-std::optional<KeyValue> ReadItem(const Json& aItem)
-{
-  bool isValid = aItem.is_object() && aItem.contains("key") && aItem["key"].is_string() &&
-                 aItem.contains("value") && aItem["value"].is_string();
-  if (!isValid) {
-    return std::nullopt;
-  }
-  KeyValue item;
-  item.key = aItem["key"].get<std::string>();
-  if (!absl::Base64Unescape(aItem["value"].get_ref<const std::string&>(), &item.value)) {
-    return std::nullopt;
-  }
-  if (aItem.contains("rev") && aItem["rev"].is_number_integer()) {
-    item.revision = aItem["rev"].get<int64_t>();
-  }
-  return item;
-}
-
-/// Whether an event of a watch reports that a key was removed.
-bool IsTombstone(const Json& aItem)
-{
-  return aItem.is_object() && aItem.contains("tombstone");
-}
-
-std::vector<KeyValue> ReadItems(const Json& aBody, const char* aName)
-{
-  std::vector<KeyValue> items;
-  if (!aBody.is_object() || !aBody.contains(aName) || !aBody[aName].is_array()) {
-    return items;
-  }
-  for (const Json& entry : aBody[aName]) {
-    std::optional<KeyValue> item = ReadItem(entry);
-    if (item.has_value()) {
-      items.push_back(*std::move(item));
-    } else if (!IsTombstone(entry)) {
-      Log(LogPart::Store, LogLevel::Warning, "An item of the store cannot be read and is ignored.");
-    }
-  }
-  return items;
-}
-
-/// The highest key of a page, also of items that cannot be read; empty if it has none.
-std::string LastKeyOf(const Json& aBody)
-{
-  std::string last;
-  if (!aBody.contains("items") || !aBody["items"].is_array()) {
-    return last;
-  }
-  for (const Json& item : aBody["items"]) {
-    if (item.is_object() && item.contains("key") && item["key"].is_string()) {
-      last = std::max(last, item["key"].get<std::string>());
-    }
-  }
-  return last;
-}
-
-bool IsTrue(const Json& aBody, const char* aName)
-{
-  auto found = aBody.find(aName);
-  return found != aBody.end() && found->is_boolean() && found->get<bool>();
-}
-
-int64_t ReadRevision(const Json& aBody)
-{
-  bool hasRevision =
-    aBody.is_object() && aBody.contains("at-rev") && aBody["at-rev"].is_number_integer();
-  return hasRevision ? aBody["at-rev"].get<int64_t>() : 0;
-}
-
 absl::Status Unavailable(int aStatus)
 {
   return MakeError(
@@ -107,24 +26,6 @@
     fmt::format("the store answered with status {}; the request is retried", aStatus));
 }
 
-Json MakePut(const std::string& aKey, const std::string& aValue, int64_t aLease)
-{
-  Json put = { { "key", aKey }, { "value", absl::Base64Escape(aValue) } };
-  if (aLease != 0) {
-    put["lease"] = aLease;
-  }
-  return put;
-}
-
-Json MakeTransaction(const Json& aConditions, const Json& aPuts, const Json& aRemovedKeys)
-{
-  Json body = Json::object();
-  body["precondition"] = aConditions;
-  body["puts"] = aPuts;
-  body["remove"] = aRemovedKeys;
-  return body;
-}
-
 } // namespace
 
 KeyValueStore::KeyValueStore(Loop& aLoop, Endpoint aServer, Duration aTimeout, WatchTiming aTiming)
@@ -150,14 +51,20 @@
   if (!aBody.empty()) {
     request.headers.emplace_back("Content-Type", "application/json");
   }
-  auto onResult = [done = std::move(aDone)](const HttpResult& aResult) {
+  auto onResult = [this, done = std::move(aDone)](const HttpResult& aResult) {
     if (aResult.outcome != HttpOutcome::Answered) {
       done(MakeError(ErrorKind::StoreUnavailable,
                      "the store does not answer; the request is retried"));
       return;
     }
+    if (!AcceptEra(FindHeader(aResult.response.headers, kStoreEraHeader))) {
+      done(MakeError(ErrorKind::StoreUnavailable,
+                     "the answer is from before the store returned; the request is retried"));
+      return;
+    }
     Reply reply;
     reply.status = aResult.response.status;
+    reply.era = era_;
     reply.body = ParseForeignJson(aResult.response.body.Text());
     done(reply);
   };
@@ -167,6 +74,48 @@
   return client_.Send(server_, request, options, onResult);
 }
 
+bool KeyValueStore::AcceptEra(const std::string& aText)
+{
+  if (aText.empty()) {
+    return true;
+  }
+  int64_t era = 0;
+  if (!absl::SimpleAtoi(aText, &era) || era < 0 || era > kMaxStoreEra) {
+    if (!hasLoggedInvalidEra_) {
+      hasLoggedInvalidEra_ = true;
+      Log(LogPart::Store,
+          LogLevel::Warning,
+          "The store names an era that is no number from 0 to {}; it is ignored.",
+          kMaxStoreEra);
+    }
+    return true;
+  }
+  if (era > era_) {
+    Log(LogPart::Store,
+        LogLevel::Info,
+        "The store is in era {} after era {}; {} watches end, and their keys are read again.",
+        era,
+        era_,
+        watches_.size());
+    era_ = era;
+    EndWatches();
+  }
+  return era == era_;
+}
+
+void KeyValueStore::EndWatches()
+{
+  std::vector<std::function<void()>> onEnds;
+  for (auto& [id, watch] : watches_) {
+    client_.Cancel(watch.request);
+    onEnds.push_back(std::move(watch.onEnd));
+  }
+  watches_.clear();
+  for (const auto& onEnd : onEnds) {
+    onEnd();
+  }
+}
+
 void KeyValueStore::Read(const ReadRequest& aRequest, OnRead aDone)
 {
   if (aRequest.end.has_value()) {
@@ -188,8 +137,8 @@
       return;
     }
     ReadResult result;
-    result.revision = ReadRevision(aReply->body);
-    std::optional<KeyValue> item = ReadItem(aReply->body);
+    result.revision = ReadRevision(aReply->body, "at-rev", aReply->era);
+    std::optional<KeyValue> item = ReadItem(aReply->body, aReply->era);
     if (aReply->status == kOk && !item.has_value()) {
       done(MakeError(ErrorKind::BrokenMessage, "the store's answer holds no valid item"));
       return;
@@ -221,12 +170,13 @@
         return;
       }
       ReadResult result = previousPages;
-      for (KeyValue& item : ReadItems(aReply->body, "items")) {
+      for (KeyValue& item : ReadItems(aReply->body, "items", aReply->era)) {
         result.items.push_back(std::move(item));
       }
       // The pages are not one consistent snapshot, so a watch starts after the revision of the
       // first.
-      result.revision = result.revision == 0 ? ReadRevision(aReply->body) : result.revision;
+      result.revision =
+        result.revision == 0 ? ReadRevision(aReply->body, "at-rev", aReply->era) : result.revision;
       if (!aReply->body.is_object()) {
         done(MakeError(ErrorKind::BrokenMessage, "the store's answer is not a JSON object"));
         return;
@@ -268,16 +218,35 @@
 
 void KeyValueStore::Swap(const SwapRequest& aRequest, OnSwapped aDone)
 {
-  Json condition = { { "key", aRequest.key }, { "rev", aRequest.expectedRevision } };
+  bool mustExist = aRequest.expectedRevision != 0;
+  if (mustExist && EraOf(aRequest.expectedRevision) != era_) {
+    // The store may have given the same number to another state since. The key is read only for the
+    // store's revision.
+    ReadRequest read;
+    read.key = aRequest.key;
+    ReadKey(read, [done = std::move(aDone)](const absl::StatusOr<ReadResult>& aResult) {
+      if (aResult.ok()) {
+        done(SwapResult{ false, aResult->revision });
+      } else {
+        done(aResult.status());
+      }
+    });
+    return;
+  }
+  Json condition = { { "key", aRequest.key }, { "rev", NumberOf(aRequest.expectedRevision) } };
   Json puts = Json::array();
   for (const KeyValue& put : aRequest.puts) {
     puts.push_back(MakePut(put.key, put.value, 0));
   }
-  auto onReply = [done = std::move(aDone)](const absl::StatusOr<Reply>& aReply) {
+  int64_t era = mustExist ? EraOf(aRequest.expectedRevision) : 0;
+  auto onReply = [mustExist, era, done = std::move(aDone)](const absl::StatusOr<Reply>& aReply) {
     bool isAnswered =
       aReply.ok() && (aReply->status == kOk || aReply->status == kPreconditionFailed);
-    if (isAnswered) {
-      done(SwapResult{ aReply->status == kOk, ReadRevision(aReply->body) });
+    if (isAnswered && mustExist && aReply->era != era) {
+      done(MakeError(ErrorKind::StoreUnavailable,
+                     "the store returned from a copy before the write; the key is read again"));
+    } else if (isAnswered) {
+      done(SwapResult{ aReply->status == kOk, ReadRevision(aReply->body, "at-rev", aReply->era) });
     } else {
       done(aReply.ok() ? Unavailable(aReply->status) : aReply.status());
     }
@@ -367,6 +336,11 @@
   WatchId id = nextWatch_++;
   watches_[id] =
     WatchState{ aPrefix, aAfterRevision, std::move(aOnEvents), std::move(aOnEnd), 0, {}, {}, {} };
+  if (EraOf(aAfterRevision) < era_) {
+    // The store does not have this revision any more.
+    watches_.at(id).pauseTimer = loop_.After(Duration::zero(), [this, id] { EndWatch(id); });
+    return id;
+  }
   // The owner learns at once whether the store answers it, and whether there was a change.
   RenewWatch(id, Duration::zero());
   return id;
@@ -379,7 +353,7 @@
   watch.wait = aWait;
   std::string target = fmt::format("/v1/kv-watch?path-prefix={}&after={}&wait-ms={}",
                                    PercentEncode(watch.prefix),
-                                   watch.revision,
+                                   NumberOf(watch.revision),
                                    ToMilliseconds(aWait));
   watch.request =
     SendRequest("GET",
@@ -395,7 +369,7 @@
   if (found == watches_.end()) {
     return;
   }
-  int64_t revision = aReply.ok() ? ReadRevision(aReply->body) : 0;
+  int64_t revision = aReply.ok() ? ReadRevision(aReply->body, "at-rev", aReply->era) : 0;
   bool canContinue = aReply.ok() && aReply->status == kOk && revision > 0;
   if (!canContinue) {
     // The request failed, the store refused it, or the store no longer has the changes after the
@@ -408,15 +382,13 @@
         ToMilliseconds(loop_.Now() - found->second.sentAt),
         aReply.ok() ? fmt::format("the store answered with status {}", aReply->status)
                     : MessageOf(aReply.status()));
-    auto onEnd = std::move(found->second.onEnd);
-    watches_.erase(found);
-    onEnd();
+    EndWatch(aId);
     return;
   }
   found->second.revision = std::max(found->second.revision, revision);
   // The store has answered at the latest at the end of its wait, even if this process was paused
   // and reads the answer only now.
-  WatchEvents events{ ReadItems(aReply->body, "events"),
+  WatchEvents events{ ReadItems(aReply->body, "events", aReply->era),
                       std::min(loop_.Now(), found->second.sentAt + found->second.wait),
                       found->second.revision };
   // The callback may cancel the watch.
@@ -434,6 +406,14 @@
   }
 }
 
+void KeyValueStore::EndWatch(WatchId aId)
+{
+  auto found = watches_.find(aId);
+  auto onEnd = std::move(found->second.onEnd);
+  watches_.erase(found);
+  onEnd();
+}
+
 void KeyValueStore::CancelWatch(WatchId aId)
 {
   auto found = watches_.find(aId);
--- a/src/platform/KeyValueStore.h
+++ b/src/platform/KeyValueStore.h
@@ -49,6 +49,8 @@
   {
     int status = 0;
     Json body;
+    /// Of the store when it answered.
+    int64_t era = 0;
   };
   using OnReply = std::function<void(const absl::StatusOr<Reply>&)>;
   struct WatchState
@@ -69,6 +71,12 @@
                                     const std::string& aBody,
                                     Duration aTimeout,
                                     OnReply aDone);
+  /// Handles the era that an answer names, which may have risen. Returns whether the answer may be
+  /// used.
+  bool AcceptEra(const std::string& aText);
+  void EndWatch(WatchId aId);
+  /// Ends all watches: what they report may be incomplete.
+  void EndWatches();
   void ReadKey(const ReadRequest& aRequest, OnRead aDone);
   void ReadPage(const ReadRequest& aRequest,
                 const std::string& aAfter,
@@ -88,6 +96,9 @@
   Duration timeout_;
   WatchTiming timing_;
   uint64_t callCount_ = 0;
+  /// The highest era that an answer has named.
+  int64_t era_ = 0;
+  bool hasLoggedInvalidEra_ = false;
   WatchId nextWatch_ = 1;
   std::map<WatchId, WatchState> watches_;
 };
--- a/src/platform/ProtocolNames.h
+++ b/src/platform/ProtocolNames.h
@@ -10,6 +10,8 @@
 constexpr char kReadyPath[] = "/v1/ready";
 /// The path prefix of upstreams' reports; the upstream's id follows it.
 constexpr char kReportPrefix[] = "/v1/instances/";
+/// The header of the store's answers that names its era.
+constexpr char kStoreEraHeader[] = "Store-Era";
 /// The store's key of the operators' complete configuration.
 constexpr char kConfigurationKey[] = "op/config";
 
--- a/src/wire/Store.h
+++ b/src/wire/Store.h
@@ -15,7 +15,8 @@
 {
   std::string key;
   std::string value;
-  /// Revision of the store that last changed the key; 0 if the store does not tell.
+  /// Revision of the store that last changed the key (StoreRevision.h); 0 if the store does not
+  /// tell.
   int64_t revision = 0;
 };
 
--- a/src/wire/Wire.h
+++ b/src/wire/Wire.h
@@ -19,6 +19,7 @@
 #include "wire/SharedKeys.h"
 #include "wire/SocketAddress.h"
 #include "wire/Store.h"
+#include "wire/StoreRevision.h"
 #include "wire/UdpDatagrams.h"
 #include "wire/Upstream.h"
 #include "wire/UpstreamAnswer.h"
--- a/test/support/PlatformStore.cpp
+++ b/test/support/PlatformStore.cpp
@@ -39,11 +39,21 @@
   items_[aKey] = Item{ aValue, ++revision_ };
 }
 
+void PlatformStore::Return()
+{
+  std::tie(items_, revision_) = copy_;
+  namedEra_ = std::to_string(++era_);
+}
+
 void PlatformStore::OnRequest(const Exchange& aExchange)
 {
   auto reply = [this, aExchange] {
     Json answer = Answer(aExchange->Request());
-    aExchange->Reply(HttpResponse{ answer.value("status", 200), {}, answer.dump() });
+    HttpResponse response{ answer.value("status", 200), {}, answer.dump() };
+    if (!namedEra_.empty()) {
+      response.headers.emplace_back("Store-Era", namedEra_);
+    }
+    aExchange->Reply(response);
   };
   int64_t wait = IntegerParameter(aExchange->Request().target, "wait-ms");
   if (wait == 0) {
@@ -64,11 +74,16 @@
     } else {
       answer["key"] = found->first;
       answer["value"] = absl::Base64Escape(found->second.value);
+      answer["rev"] = found->second.revision;
     }
   } else if (absl::StartsWith(target, "/v1/kv-range")) {
     answer["items"] = ItemsOf(Parameter(target, "path-prefix"), 0);
   } else if (absl::StartsWith(target, "/v1/kv-watch")) {
-    answer["events"] = ItemsOf(Parameter(target, "path-prefix"), IntegerParameter(target, "after"));
+    int64_t after = IntegerParameter(target, "after");
+    if (after > revision_) {
+      return Json{ { "status", 410 } };
+    }
+    answer["events"] = ItemsOf(Parameter(target, "path-prefix"), after);
   } else if (absl::StartsWith(target, "/v1/kv-lease")) {
     answer["lease"] = 1;
   } else if (absl::StartsWith(target, "/v1/kv-txn")) {
--- a/test/support/PlatformStore.h
+++ b/test/support/PlatformStore.h
@@ -16,6 +16,12 @@
 public:
   PlatformStore(Loop& aLoop, const Endpoint& aListen);
   void Put(const std::string& aKey, const std::string& aValue);
+  /// Takes a copy of the items, and comes back from it in the next era.
+  void Copy() { copy_ = { items_, revision_ }; }
+  void Return();
+  /// The text of the header that names the era; empty for no header.
+  void NameEra(const std::string& aText) { namedEra_ = aText; }
+  int64_t Revision() const { return revision_; }
 
 private:
   using Exchange = std::shared_ptr<HttpExchange>;
@@ -31,8 +37,12 @@
   };
   Loop& loop_;
   HttpServer server_;
-  std::map<std::string, Item> items_;
+  using Items = std::map<std::string, Item>;
+  Items items_;
   int64_t revision_ = 1;
+  std::pair<Items, int64_t> copy_;
+  int64_t era_ = 0;
+  std::string namedEra_;
   std::vector<Timer> timers_;
 };
 
