Name the next paced start in class lanes though it has passed

What callers saw: in the standalone environment, calls to a limited upstream could wait until their deadline although it was idle.

Cause: SlotQueue::NextPacedStart told calls held back by the limit from those that wait for their lane by whether the next start lay in the future. If it had just passed, no timer was set, and no other event starts a waiting call.

Fix: the queue looks whether a lane with waiting calls has room; then the next start counts, also a past one.

--- a/src/admission/SlotQueue.cpp
+++ b/src/admission/SlotQueue.cpp
@@ -116,12 +116,11 @@
 
 std::optional<TimePoint> SlotQueue::NextPacedStart(TimePoint aNow) const
 {
-  if (waiting_ == 0 || Running() >= slots_) {
-    return std::nullopt;
-  }
-  // In a full lane, calls wait for a slot although others are free.
-  TimePoint next = pacer_.NextStart(aNow);
-  return next > aNow ? std::optional(next) : std::nullopt;
+  const auto& rows = EnumNames<TrafficClass>::kTable;
+  bool isHeldBack = std::any_of(std::begin(rows), std::end(rows), [&](const auto& aRow) {
+    return !LaneOf(aRow.value).queue.empty() && HasRoomFor(aRow.value);
+  });
+  return isHeldBack ? std::optional(pacer_.NextStart(aNow)) : std::nullopt;
 }
 
 QueueEstimate SlotQueue::EstimateFor(TrafficClass aClass, TimePoint aNow) const
@@ -225,9 +224,9 @@
   aEffects.push_back(RunCall{ aCall });
 }
 
-bool SlotQueue::MayRun(TrafficClass aClass, TimePoint aNow) const
+bool SlotQueue::HasRoomFor(TrafficClass aClass) const
 {
-  if (Running() >= slots_ || !pacer_.MayStart(aNow)) {
+  if (Running() >= slots_) {
     return false;
   }
   if (!IsLongRunningClass(aClass)) {
--- a/src/admission/SlotQueue.h
+++ b/src/admission/SlotQueue.h
@@ -105,7 +105,12 @@
   void OnCancelled(AdmissionEffects& aEffects, const CallCancelled& aCall, TimePoint aNow);
   void FillSlots(AdmissionEffects& aEffects, TimePoint aNow);
   void Run(AdmissionEffects& aEffects, CallKey aCall, TrafficClass aClass, TimePoint aNow);
-  bool MayRun(TrafficClass aClass, TimePoint aNow) const;
+  /// Whether a slot is free for calls of this class.
+  bool HasRoomFor(TrafficClass aClass) const;
+  bool MayRun(TrafficClass aClass, TimePoint aNow) const
+  {
+    return HasRoomFor(aClass) && pacer_.MayStart(aNow);
+  }
   int64_t MaxRunning(TrafficClass aClass) const;
   Duration ExpectedQueueDelay(TrafficClass aClass, TimePoint aNow) const;
   /// Whether the call would end after its deadline if it was queued now.
--- a/test/property/CallsArePaced.cpp
+++ b/test/property/CallsArePaced.cpp
@@ -117,3 +117,24 @@
     }
   });
 }
+
+/// Guards against calls that wait without end: their time had passed when the node looked when to
+/// wake up, and nothing else started them.
+Test(paced_calls, are_due_though_their_time_has_passed)
+{
+  for (QueueOrderName order : { QueueOrderName::ByTarget, QueueOrderName::ClassLanes }) {
+    AdmissionQueue queue(order, kSlots);
+    TimePoint now(seconds(100));
+    queue.Handle(UpstreamAnswered{ 40.0, now }, now);
+    TimePoint end = now + seconds(60);
+    queue.Handle(CallArrived{ 1, TrafficClass::Interactive, end, end }, now);
+    queue.Handle(CallArrived{ 2, TrafficClass::Interactive, end, end }, now);
+    cr_assert_eq(queue.Waiting(), 2);
+    TimePoint later = now + seconds(10);
+    std::optional<TimePoint> due = queue.NextPacedStart(later);
+    cr_assert(due.has_value());
+    cr_assert(*due <= later);
+    cr_assert_eq(queue.StartDue(later).size(), 2);
+    cr_assert_not(queue.NextPacedStart(later).has_value());
+  }
+}
